Bind both peer sockets before a port is announced, and reserve test ports

Port 0 for the peer traffic had the same gap: the TCP port was probed, closed and bound again.

Change: reserve_addresses keeps bound sockets that do not listen; the kernel gives such a port to no other socket unless it is bound by number. Nodes of the test fleet bind any free port for peers. bind_peer_sockets binds TCP and UDP and keeps both.

--- a/src/figlane/adapters/datagrams.py
+++ b/src/figlane/adapters/datagrams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Callable
 from typing import Any, cast
@@ -16,7 +15,6 @@
 # Maximum payload of a datagram in bytes; it fits into one Ethernet frame
 # without fragmentation.
 MAX_DATAGRAM_BYTES = 1400
-_PORT_ATTEMPTS = 20
 
 
 class DatagramLink(asyncio.DatagramProtocol):
@@ -27,28 +25,24 @@
         '_node_id',
         '_socket',
         '_transport',
-        'address',
         'rejected',
     )
 
     def __init__(
         self,
         node_id: str,
-        address: str,
+        bound_socket: socket.socket,
         deliver: Callable[[PeerMessage], None],
     ) -> None:
-        """Bind the UDP socket.
+        """Create a transport on a bound UDP socket.
 
         :param node_id: id of this node.
-        :param address: ``host:port`` to bind; port 0 selects a port that is
-            free for both UDP and TCP.
+        :param bound_socket: the socket, which this object closes.
         :param deliver: receives each incoming message.
         """
         self._node_id = node_id
         self._deliver = deliver
-        self._socket = _bind(address)
-        host, port = self._socket.getsockname()
-        self.address = f'{host}:{port}'
+        self._socket = bound_socket
         self.rejected = 0
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -103,24 +97,3 @@
         :param exc: the socket error.
         """
         self.rejected += 1
-
-
-def _bind(address: str) -> socket.socket:
-    host, port = split_address(address)
-    for _ in range(_PORT_ATTEMPTS):
-        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        datagrams.setblocking(False)
-        datagrams.bind((host, port))
-        if port or _is_tcp_port_free(datagrams.getsockname()):
-            return datagrams
-        datagrams.close()
-    raise OSError('found no port that is free for both TCP and UDP')
-
-
-def _is_tcp_port_free(address: tuple[str, int]) -> bool:
-    with contextlib.closing(socket.socket()) as probe:
-        try:
-            probe.bind(address)
-        except OSError:
-            return False
-    return True
--- a/src/figlane/adapters/peer_link.py
+++ b/src/figlane/adapters/peer_link.py
@@ -24,7 +24,6 @@
     ReplaceConnection,
 )
 from figlane.entities.outbox import SendToPeer
-from figlane.settings import split_address
 from figlane.wire.peer import MAX_FRAME_BYTES, PeerFrameError, decode, encode
 
 _log = structlog.get_logger()
@@ -37,7 +36,6 @@
 # Connect time-out in seconds; the round trip to the most distant peers takes
 # some tens of milliseconds.
 _CONNECT_TIMEOUT_SECONDS = 1.0
-_BACKLOG = 1024
 # Frame prefix: lengths of the head and of the body.
 _FRAME_PREFIX = struct.Struct('>II')
 
@@ -145,28 +143,27 @@
         '_server',
         '_socket',
         '_tasks',
-        'address',
         'incoming',
         'rejected',
     )
 
-    def __init__(self, node_id: str, address: str, deliver: Deliver) -> None:
-        """Bind the listening socket.
+    def __init__(
+        self,
+        node_id: str,
+        listener: socket.socket,
+        deliver: Deliver,
+    ) -> None:
+        """Create a transport on a listening socket.
 
         :param node_id: id of this node.
-        :param address: ``host:port`` to bind; port 0 selects a free port.
+        :param listener: the socket, which this object closes.
         :param deliver: receives incoming messages and send failures.
         """
         self._node_id = node_id
         self._deliver = deliver
         self._outgoing_by_node: dict[str, _OutgoingConnection] = {}
         self.incoming: set[_IncomingConnection] = set()
-        self._socket = socket.create_server(
-            split_address(address),
-            backlog=_BACKLOG,
-        )
-        host, port = self._socket.getsockname()
-        self.address = f'{host}:{port}'
+        self._socket = listener
         self.rejected = 0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._server: asyncio.Server | None = None
--- a/src/figlane/composition.py
+++ b/src/figlane/composition.py
@@ -22,6 +22,7 @@
     allow_all_lines,
 )
 from figlane.adapters.peer_link import PeerLink
+from figlane.adapters.peer_sockets import bind_peer_sockets
 from figlane.adapters.ticker import Sink, Ticker
 from figlane.entities.gossip import SendDatagram
 from figlane.entities.inbox import NodeStarted
@@ -117,6 +118,7 @@
     """A node: its world, its ticker and its adapters."""
 
     __slots__ = (
+        '_bound_address',
         '_datagram_link',
         '_decision_log',
         '_interface',
@@ -148,15 +150,15 @@
         self._ticker = Ticker(self.world, loop, run_tick)
         deliver = self._ticker.deliver
         identity = plan.identity
-        self._datagram_link = DatagramLink(identity.node_id, plan.peer, deliver)
-        self._peer_link = PeerLink(
-            identity.node_id,
-            self._datagram_link.address,
-            deliver,
+        sockets = bind_peer_sockets(plan.peer)
+        self._bound_address = sockets.address
+        self._datagram_link = DatagramLink(
+            identity.node_id, sockets.datagrams, deliver
         )
+        self._peer_link = PeerLink(identity.node_id, sockets.listener, deliver)
         self._decision_log = DecisionLog(identity.node_id, plan.allow_line)
-        identity.peer_address = plan.advertised or self._peer_link.address
-        identity.gossip_address = self._datagram_link.address
+        identity.peer_address = plan.advertised or sockets.address
+        identity.gossip_address = sockets.address
         is_node_ready = functools.partial(is_ready, self.world)
         self._interface = make_interface(
             InterfaceContext(self.world, loop, deliver, is_node_ready)
@@ -216,7 +218,7 @@
             'entry': identity.entry_address,
             'admin': identity.admin_address,
             'peer': identity.peer_address,
-            'peer_bound': self._peer_link.address,
+            'peer_bound': self._bound_address,
         }
         sys.stdout.write(f'{json.dumps(addresses)}\n')
         sys.stdout.flush()
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -3,25 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from figlane.adapters.http_client import HttpPool
 from figlane.adapters.http_exchange import HttpOutcome
 from figlane.composition import Node
 from figlane.entities.http import Request
 from figlane.platform.node import create_platform_node
 from figlane.platform.settings import PlatformSettings, parse_settings
-from figlane.settings import split_address
 from figlane.systems.readiness import is_ready
+from standins.addresses import reserve_addresses
 from standins.platform_backend import HEALTH_PATH, PlatformBackend
 from standins.platform_store import PlatformStore
 
 HOST = 'shop.example'
 API_KEY = b'key-of-acme'
-_LAST_PORT = 65_535
+# The settings must name a port; nodes of the fleet bind any free port instead.
+_ANY_PORT = 1
 _LOOPBACK = '127.0.0.1'
 _ANNOUNCE_INTERVAL_SECONDS = 0.3
 _READY_TIMEOUT_SECONDS = 10
@@ -60,7 +61,7 @@
         :return: the VM.
         """
         name = f'vm-{len(self.vms) + 1}'
-        entry, readiness, control, app = free_addresses(4)
+        entry, readiness, control, app = reserve_addresses(4)
         settings = self._settings(
             [name, zone, service],
             [entry, readiness, control, app],
@@ -149,7 +150,7 @@
         addresses: list[str],
     ) -> PlatformSettings:
         entry, readiness, control = addresses[:3]
-        return parse_settings(
+        settings = parse_settings(
             {
                 'self': {
                     'node': names[0],
@@ -164,10 +165,7 @@
                         'ready': readiness,
                         'control': control,
                     },
-                    'internal_ports': [
-                        split_address(free_addresses(1)[0])[1],
-                        _LAST_PORT,
-                    ],
+                    'internal_ports': [_ANY_PORT, _ANY_PORT],
                 },
                 'platform': {
                     'heartbeat': f'{int(_ANNOUNCE_INTERVAL_SECONDS * 1000)}ms',
@@ -175,6 +173,7 @@
                 },
             },
         )
+        return msgspec.structs.replace(settings, peer=f'{_LOOPBACK}:0')
 
     def _is_vm_ready(self, vm: PlatformVm) -> bool:
         world = vm.node.world
@@ -193,7 +192,7 @@
     """
     loop = asyncio.get_running_loop()
     store = PlatformStore(loop)
-    address = free_addresses(1)[0]
+    address = reserve_addresses(1)[0]
     host, _, port = address.partition(':')
     await store.server.start(host, int(port))
     if config is not None:
@@ -241,23 +240,6 @@
     return defaults
 
 
-def free_addresses(count: int) -> list[str]:
-    """Find loopback addresses with unused TCP ports.
-
-    They are used for UDP as well, which is not probed.
-
-    :param count: the number of addresses.
-    :return: the addresses as ``host:port``.
-    """
-    with contextlib.ExitStack() as stack:
-        addresses = []
-        for _ in range(count):
-            probe = stack.enter_context(socket.socket())
-            probe.bind((_LOOPBACK, 0))
-            addresses.append(f'{_LOOPBACK}:{probe.getsockname()[1]}')
-    return addresses
-
-
 async def _announce_periodically(vm: PlatformVm) -> None:
     while True:
         await vm.backend.announce(vm.control)
--- a/tests/adapters/test_http_callback_server.py
+++ b/tests/adapters/test_http_callback_server.py
@@ -11,7 +11,7 @@
 )
 from figlane.adapters.request_reader import HttpRequest
 from figlane.entities.ingress import CallerLimits
-from standins.platform_fleet import free_addresses
+from standins.addresses import reserve_addresses
 
 _LIMITS = CallerLimits(head_seconds=0.2, idle_seconds=0.6)
 _GET = b'GET /%(number)d HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -29,7 +29,7 @@
         loop = asyncio.get_running_loop()
         self.server = CallbackHttpServer(loop, self)
         self.server.state.limits = _LIMITS
-        self.address = free_addresses(1)[0].split(':')
+        self.address = reserve_addresses(1)[0].split(':')
         await self.server.start(self.address[0], int(self.address[1]))
         self.addCleanup(self.server.close)
         streams = await asyncio.open_connection(*self.address)
--- a/tests/adapters/test_peer_link.py
+++ b/tests/adapters/test_peer_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 from unittest import IsolatedAsyncioTestCase, TestCase, mock
 
@@ -25,7 +26,7 @@
         )
         self.enterContext(short_queue)
         self.rows: list[Any] = []
-        self.link = peer_link.PeerLink('node', '127.0.0.1:0', self.rows.append)
+        self.link = peer_link.PeerLink('node', _listener(), self.rows.append)
         self.addCleanup(self.link.close)
 
     def test_send_failures_reported(self) -> None:
@@ -64,12 +65,15 @@
         loop = asyncio.get_running_loop()
         self.sender = peer_link.PeerLink(
             'sender',
-            '127.0.0.1:0',
+            _listener(),
             self.failed.append,
         )
+        listener = _listener()
+        host, port = listener.getsockname()
+        self.receiver_address = f'{host}:{port}'
         self.receiver = peer_link.PeerLink(
             'receiver',
-            '127.0.0.1:0',
+            listener,
             self.rows.append,
         )
         for link in (self.sender, self.receiver):
@@ -105,7 +109,7 @@
 
     async def test_invalid_frame(self) -> None:
         """An invalid frame is counted and does not affect other connections."""
-        host, port = self.receiver.address.split(':')
+        host, port = self.receiver_address.split(':')
         _, writer = await asyncio.open_connection(host, int(port))
         writer.write(b'\xff' * 100)
         await writer.drain()
@@ -115,7 +119,7 @@
         writer.close()
 
     def _send(self, number: int, body: bytes) -> None:
-        address = self.receiver.address
+        address = self.receiver_address
         row = SendToPeer('receiver', address, Ping(number, 1), body)
         self.sender.send(row)
 
@@ -123,3 +127,7 @@
         async with asyncio.timeout(5):
             while len(self.rows) < count:
                 await asyncio.sleep(0.01)
+
+
+def _listener() -> socket.socket:
+    return socket.create_server(('127.0.0.1', 0))
--- a/tests/platform/test_health.py
+++ b/tests/platform/test_health.py
@@ -8,8 +8,8 @@
 from figlane.entities.inbox import BackendChecked
 from figlane.entities.outbox import CheckBackend
 from figlane.platform.health import HealthChecker
+from standins.addresses import reserve_addresses
 from standins.platform_backend import HEALTH_PATH, PlatformBackend
-from standins.platform_fleet import free_addresses
 
 _ID = 'i-1'
 
@@ -20,7 +20,7 @@
     async def asyncSetUp(self) -> None:
         """Start the backend server and create the checker."""
         loop = asyncio.get_running_loop()
-        address = free_addresses(1)[0]
+        address = reserve_addresses(1)[0]
         self.backend = PlatformBackend(loop, _ID, 'shop', address)
         await self.backend.start()
         self.addCleanup(self.backend.server.close)
@@ -42,7 +42,7 @@
 
     async def test_no_answer(self) -> None:
         """The health of a server that cannot be reached is unknown."""
-        self.backend.address = free_addresses(1)[0]
+        self.backend.address = reserve_addresses(1)[0]
         self.assertIsNone(await self._check(_ID))
 
     async def _check(self, instance_id: str) -> bool | None:
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -14,7 +14,7 @@
     Unavailable,
 )
 from figlane.settings import split_address
-from standins.platform_fleet import free_addresses
+from standins.addresses import reserve_addresses
 from standins.platform_store import PlatformStore
 
 
@@ -25,7 +25,7 @@
         """Start the store and create the client."""
         loop = asyncio.get_running_loop()
         self.store = PlatformStore(loop)
-        address = free_addresses(1)[0]
+        address = reserve_addresses(1)[0]
         await self.store.server.start(*split_address(address))
         self.client = ObjectStore(loop, address)
         self.addCleanup(self.store.server.close)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -14,8 +14,9 @@
 
 from figlane.entities.http import Request
 from figlane.settings import split_address
+from standins.addresses import reserve_addresses, reserve_peer_address
 from standins.platform_backend import send
-from standins.platform_fleet import configuration, free_addresses
+from standins.platform_fleet import configuration
 from standins.platform_store import PlatformStore
 
 _SCRIPT = Path(__file__).parents[2] / 'deploy' / 'node.py'
@@ -37,10 +38,10 @@
         self.store = PlatformStore(loop)
         self.store.table.write('config', 'main', configuration())
         names = ('app', 'entry', 'ready', 'control', 'store')
-        self.addresses = dict(zip(names, free_addresses(5), strict=True))
+        self.addresses = dict(zip(names, reserve_addresses(5), strict=True))
         await self.store.server.start(*split_address(self.addresses['store']))
         self.addCleanup(self.store.server.close)
-        peer = split_address(free_addresses(1)[0])[1]
+        peer = split_address(reserve_peer_address())[1]
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.path = Path(folder) / 'local.yaml'
         text = _SETTINGS.format(peer=peer, **self.addresses)
