Set an early timer again without a tick

Cause: uvloop counts a delay from the start of the loop's iteration. A process that is preempted between that moment and call_later gets its timer too early; the ticker ran a tick that found nothing due. This is the tick over the bound that tests.adapters.test_ticker showed beside load (53 where 52 are allowed).

Change: a timer that fires before the time it was set for is set again.

Result: test_early_timer fails without the change (4 ticks for 1).

--- a/src/figlane/adapters/ticker.py
+++ b/src/figlane/adapters/ticker.py
@@ -120,6 +120,13 @@
         self._timer = self._loop.call_later(delay, self._on_timer)
 
     def _on_timer(self) -> None:
+        due = self._armed_due
         self._timer = None
         self._armed_due = NEVER
+        # The event loop counts a delay from the start of the iteration that
+        # sets the timer. If the process is preempted in that iteration, the
+        # timer fires early.
+        if current_time() < due:
+            self._arm(due)
+            return
         self.run()
--- a/tests/adapters/test_ticker.py
+++ b/tests/adapters/test_ticker.py
@@ -6,6 +6,7 @@
 import unittest
 from dataclasses import dataclass, field
 from typing import Any
+from unittest import mock
 
 import uvloop
 
@@ -16,6 +17,7 @@
 # Seconds until the next row is due; uvloop rounds this delay down to zero.
 _DELAY_SECONDS = 0.0004
 _ROW_COUNT = 50
+_LONG_DELAY_SECONDS = 60
 
 
 @dataclass(slots=True)
@@ -48,6 +50,25 @@
         """A delay that uvloop rounds down causes no premature ticks."""
         self.assertLessEqual(uvloop.run(_count_ticks()), _ROW_COUNT + 2)
 
+    def test_early_timer(self) -> None:
+        """A timer that fires before the due time is set again, without a tick.
+
+        The event loop counts delays from the start of its iteration, so that a
+        timer fires early if the process is preempted while it sets the timer.
+        """
+        loop = mock.Mock()
+        world = _World(current_time() + _LONG_DELAY_SECONDS)
+        ticker = Ticker(world, loop, _tick)
+        ticker.run()
+        self.assertEqual(world.ticks, 1)
+        for _ in range(3):
+            _, fire = loop.call_later.call_args.args
+            loop.call_later.reset_mock()
+            fire()
+            delay, _ = loop.call_later.call_args.args
+            self.assertAlmostEqual(delay, _LONG_DELAY_SECONDS, delta=1)
+        self.assertEqual(world.ticks, 1)
+
 
 async def _count_ticks() -> int:
     world = _World(current_time() + _DELAY_SECONDS)
