Charge each organisation's calls to one bucket that one member owns

Cause: each node sent the counts of every organisation to every live peer each 0.4 s: 195 x 194 x 2.5 messages a second. The division of the rate into shares of nodes refused calls within the rate: of few calls at many nodes, each node may let through a fraction of one.

Change: policy 'owner'. Consistent hashing over the members names one owner for each organisation; an entry node asks it to charge the calls that wait, at most one request per organisation and round trip. A new owner claims the bucket, and its level, from the previous one. A silent owner's successor lets through 0.28 of the rate, times the part of the fleet that asks it. An answer older than 0.15 s grants nothing.

Weighed: an aggregator of counts, with the old local decision: its overshoot between reports, or refusals by quantised shares, stay at 200 nodes. Tokens fetched in advance: not needed at 2 messages a call, and they are lost at nodes that see one call in several seconds.

--- a/src/figlane/entities/quota.py
+++ b/src/figlane/entities/quota.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from figlane.entities.charge import ChargeQueue, OwnedBucket, OwnerRing
 from figlane.entities.right import KnownHolder, Right
 from figlane.entities.table import NEVER, IdentityHashMixin, Table
 
@@ -88,55 +89,6 @@
         return min(self.capacity, grown)
 
 
-@dataclass(slots=True)
-class DemandBucket:
-    """This node's estimate of an organisation's fleet-wide token bucket.
-
-    ``created_at`` is when this node created it. ``level`` is in calls and
-    negative if more calls were admitted than tokens refilled. ``local_level``
-    is the level of the local bucket, which limits what this node admits between
-    two reports of its peers. ``received`` and ``admitted`` count the calls that
-    this node received and admitted, ``reported_received`` those received until
-    its last report. ``local_demand`` is the rate of calls received here,
-    ``demand_share`` this node's share of the demand at all nodes, and
-    ``peer_rate`` the rate at which all peers together admit calls. Rates are in
-    calls per second.
-    """
-
-    created_at: float
-    refilled_at: float
-    demand_share: float = 0
-    level: float = 0
-    local_level: float = 0
-    received: int = 0
-    admitted: int = 0
-    reported_received: int = 0
-    local_demand: float = 0
-    peer_rate: float = 0
-
-
-@dataclass(slots=True)
-class PeerDemand:
-    """Call counts and rates of a peer, from its reports since one start.
-
-    ``epoch`` identifies the start. The counts of admitted and received calls
-    are since then. ``admitted_rate_by_organisation`` is the average rate of
-    admitted calls and ``received_rate_by_organisation`` the rate of received
-    calls between the last two reports, both in calls per second.
-    """
-
-    epoch: int
-    received_at: float
-    admitted_by_organisation: dict[str, int]
-    received_by_organisation: dict[str, int]
-    admitted_rate_by_organisation: dict[str, float] = field(
-        default_factory=dict
-    )
-    received_rate_by_organisation: dict[str, float] = field(
-        default_factory=dict
-    )
-
-
 @enum.unique
 class StockPhase(IdentityHashMixin, enum.Enum):
     """Phase of a stock; there is only one."""
@@ -190,14 +142,15 @@
 class QuotaState:
     """All state of a node that concerns quotas.
 
-    ``bucket_by_id`` holds the token buckets by quota under the other policies
-    and ``bucket_by_organisation`` those of the demand policy.
+    ``bucket_by_id`` holds the token buckets by quota. Under the ``owner``
+    policy, ``charge_queues`` holds the calls that wait for a charge,
+    ``owned_buckets`` the buckets that this node is in charge of,
+    ``owner_ring`` the members that may own one, and ``silent_until_by_node``
+    the members that did not answer, with the time until which they are passed
+    over. ``last_charge_id`` numbers the requests.
     ``preferred_holder_by_right`` holds the member that should hold each right,
     ``holder_by_right`` the last known holder, and ``candidate_ids`` the members
-    among which the preferred holders were chosen. ``silent_peer_count`` is the
-    number of live peers without a recent demand report. ``is_demand_known`` is
-    False if more than half of the live peers are silent, if no fewer members
-    are dead than live (this node included), or without a member list.
+    among which the preferred holders were chosen.
     ``is_leaving`` means that this node releases its rights and takes no more.
     """
 
@@ -205,12 +158,11 @@
     stocks: Table[Stock] = field(default_factory=Table)
     timers: Table[Timer] = field(default_factory=Table)
     bucket_by_id: dict[str, Bucket] = field(default_factory=dict)
-    bucket_by_organisation: dict[str, DemandBucket] = field(
-        default_factory=dict,
-    )
-    demand_by_node: dict[str, PeerDemand] = field(default_factory=dict)
-    is_demand_known: bool = False
-    silent_peer_count: int = 0
+    charge_queues: Table[ChargeQueue] = field(default_factory=Table)
+    owned_buckets: Table[OwnedBucket] = field(default_factory=Table)
+    owner_ring: OwnerRing = field(default_factory=OwnerRing)
+    silent_until_by_node: dict[str, float] = field(default_factory=dict)
+    last_charge_id: int = 0
     preferred_holder_by_right: dict[str, str] = field(default_factory=dict)
     holder_by_right: dict[str, KnownHolder] = field(default_factory=dict)
     candidate_ids: tuple[str, ...] = ()
@@ -222,4 +174,10 @@
 
         :return: the tables, each of which may have rows with a due time.
         """
-        return (self.rights, self.stocks, self.timers)
+        return (
+            self.rights,
+            self.stocks,
+            self.timers,
+            self.charge_queues,
+            self.owned_buckets,
+        )
--- a/src/figlane/entities/quota_messages.py
+++ b/src/figlane/entities/quota_messages.py
@@ -44,17 +44,51 @@
 
 
 @dataclass(slots=True)
-class DemandReport:
-    """Reports how many calls the sender has received and admitted.
+class ChargeRequest:
+    """Asks the owner of an organisation's bucket to charge ``count`` calls.
 
-    ``asked_by_organisation`` counts the calls received and
-    ``admitted_by_organisation`` those admitted, both since the sender started.
-    ``epoch`` is that of the sender's ledger and distinguishes its starts.
+    ``is_fallback`` is set if the receiver need not be the owner: the sender
+    could not reach the owner, or another member named the receiver.
     """
 
-    epoch: int
-    admitted_by_organisation: dict[str, int] = field(default_factory=dict)
-    asked_by_organisation: dict[str, int] = field(default_factory=dict)
+    request_id: int
+    organisation_id: str
+    count: int
+    is_fallback: bool = False
+
+
+@dataclass(slots=True)
+class ChargeReply:
+    """Answers a ``ChargeRequest``: ``granted`` calls were charged.
+
+    ``owner_id`` is set, and nothing was charged, if another member owns the
+    bucket. ``available_in`` is the time in seconds until the next token.
+    """
+
+    request_id: int
+    organisation_id: str
+    granted: int = 0
+    available_in: float = 0
+    owner_id: str = ''
+
+
+@dataclass(slots=True)
+class BucketClaim:
+    """Asks the previous owner of an organisation's bucket to release it."""
+
+    organisation_id: str
+
+
+@dataclass(slots=True)
+class BucketRelease:
+    """Answers a ``BucketClaim``; the sender charges no more calls.
+
+    ``level`` is the bucket's if ``was_owner`` is set.
+    """
+
+    organisation_id: str
+    level: float = 0
+    was_owner: bool = False
 
 
 @dataclass(slots=True)
--- a/src/figlane/entities/world.py
+++ b/src/figlane/entities/world.py
@@ -98,8 +98,9 @@
     ``failures`` holds exceptions raised by systems and handlers, to be logged.
     ``bound_systems`` are the registered systems, bound to these tables.
     ``random`` is the only source of randomness that systems use. All tables
-    share ``alarm``. ``ticked_at`` is the start time of the latest tick, and
-    ``seconds_since_last_tick`` the time between it and the previous tick.
+    share ``alarm``. ``started_at`` is when the node started, ``ticked_at`` the
+    start time of the latest tick, and ``seconds_since_last_tick`` the time
+    between it and the previous tick.
     """
 
     identity: Identity
@@ -144,6 +145,7 @@
     tables: tuple[Table[Any], ...] = ()
     bound_systems: BoundSystems = BoundSystems()
     alarm: Alarm = field(default_factory=Alarm)
+    started_at: float = NEVER
     ticked_at: float = NEVER
     seconds_since_last_tick: float = 0
 
--- a/src/figlane/platform/node.py
+++ b/src/figlane/platform/node.py
@@ -101,7 +101,7 @@
         # and is no measure of its own load: a latency-based concurrency limit
         # is of no use. Announcements contain the time left of a cold start,
         # which makes a ramp unnecessary.
-        policies=Policies(rate='demand', limit='none', cold_start='none'),
+        policies=Policies(rate='owner', limit='none', cold_start='none'),
         retry_bounds=RetryBounds(
             settings.retry_ratio * _RETRY_RATIO_SHARE,
             max(
--- a/src/figlane/systems/queries.py
+++ b/src/figlane/systems/queries.py
@@ -23,7 +23,11 @@
 )
 from figlane.systems.lifecycle import cancel_attempt, current_call
 from figlane.systems.node_messages import send_message
-from figlane.systems.registry import inbox_handlers, peer_handlers
+from figlane.systems.registry import (
+    inbox_handlers,
+    peer_handlers,
+    send_failure_handlers,
+)
 from figlane.systems.retries import retry_or_finish, return_retries
 
 _MS_PER_SECOND = 1000
@@ -128,16 +132,27 @@
 
 @inbox_handlers.register(PeerSendFailed)
 def handle_send_failed(world: World, row: PeerSendFailed, now: float) -> None:
-    """Retry a call whose request never left this node, or end it.
+    """Count messages that could not be sent and dispatch them by type.
 
     :param world: the tables.
-    :param row: the message that could not be sent.
+    :param row: the message.
     :param now: the present time in seconds.
     """
     world.counters['peer.send-failed'] += 1
-    message = row.message
-    if not isinstance(message, CallRequest):
-        return
+    message_type = type(row.message)
+    if message_type in send_failure_handlers.by_key:
+        send_failure_handlers.find(message_type)(world, row, now)
+
+
+@send_failure_handlers.register(CallRequest)
+def handle_call_not_sent(world: World, row: PeerSendFailed, now: float) -> None:
+    """Retry a call whose request never left this node, or end it.
+
+    :param world: the tables.
+    :param row: the request.
+    :param now: the present time in seconds.
+    """
+    message: CallRequest = row.message
     call = current_call(world, row.node_id, message.call_id, message.attempt)
     if call is None:
         return
--- /dev/null
+++ b/src/figlane/systems/quota_ring.py
@@ -0,0 +1,80 @@
+"""Chooses the member that owns an organisation's bucket.
+
+Consistent hashing (Karger et al., STOC 1997): members and organisations are
+points on a ring, and the first member at or after an organisation's point owns
+its bucket. A member that joins or leaves changes the owner of the buckets on
+its own arc only.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterator
+
+import xxhash
+
+from figlane.entities.charge import OwnerRing
+from figlane.entities.member import Member, MemberPhase
+from figlane.entities.world import World
+
+_PHASES = (MemberPhase.ALIVE, MemberPhase.SUSPECT, MemberPhase.LEAVING)
+
+
+def ring_members(world: World, organisation_id: str) -> Iterator[Member]:
+    """List the members in the order in which they may own a bucket.
+
+    :param world: the tables; this node's own row must exist.
+    :param organisation_id: the organisation.
+    :return: the members that are not dead, leaving ones included.
+    """
+    points = _points(world)
+    start = bisect_left(points, (_point(organisation_id), ''))
+    for index in range(len(points)):
+        _, member_id = points[(start + index) % len(points)]
+        member = world.members.get(member_id)
+        if member is not None:
+            yield member
+
+
+def owner_of(world: World, organisation_id: str) -> str:
+    """Determine the owner of a bucket.
+
+    :param world: the tables.
+    :param organisation_id: the organisation.
+    :return: id of the member, empty if all members are leaving.
+    """
+    for member in ring_members(world, organisation_id):
+        if member.phase is not MemberPhase.LEAVING:
+            return member.id
+    return ''
+
+
+def previous_owner_of(world: World, organisation_id: str) -> str:
+    """Determine who owned this node's bucket before this node did.
+
+    :param world: the tables.
+    :param organisation_id: the organisation.
+    :return: id of the member that would own the bucket without this node: it
+        is leaving, or this node joined after it; empty if there is none.
+    """
+    own_id = world.identity.node_id
+    for member in ring_members(world, organisation_id):
+        if member.id != own_id:
+            return member.id
+    return ''
+
+
+def _points(world: World) -> list[tuple[int, str]]:
+    ring: OwnerRing = world.quota.owner_ring
+    if ring.revision != world.members.revision:
+        ring.revision = world.members.revision
+        ring.points = sorted(
+            (_point(member.id), member.id)
+            for phase in _PHASES
+            for member in world.members.in_phase(phase)
+        )
+    return ring.points
+
+
+def _point(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- a/src/figlane/systems/registry.py
+++ b/src/figlane/systems/registry.py
@@ -44,6 +44,7 @@
 )
 inbox_handlers: Registry[Handler] = Registry('inbox row handler')
 peer_handlers: Registry[Callable[..., None]] = Registry('peer message handler')
+send_failure_handlers: Registry[Handler] = Registry('send failure handler')
 write_handlers: Registry[Handler] = Registry('write result handler')
 read_handlers: Registry[Handler] = Registry('read result handler')
 routing_policies: Registry[Callable[..., Any]] = Registry('routing policy')
--- a/src/figlane/systems/routines.py
+++ b/src/figlane/systems/routines.py
@@ -23,6 +23,7 @@
     :param row: the event; lists the routines that must not be started.
     :param now: the present time in seconds.
     """
+    world.started_at = now
     publish_own_member(world)
     for key in routines.by_key.keys() - row.disabled_routines:
         world.routines.insert(Routine(key, due=now))
--- a/src/figlane/wire/peer.py
+++ b/src/figlane/wire/peer.py
@@ -30,7 +30,6 @@
         4: messages.CallCancel,
         50: configuration_messages.ObjectPush,
         59: configuration_messages.ConfigurationPush,
-        34: quota_messages.DemandReport,
         51: configuration_messages.ConfigurationQuery,
         52: configuration_messages.ConfigurationStatus,
         53: configuration_messages.ObjectRequest,
@@ -54,6 +53,11 @@
         31: quota_messages.TokenGrant,
         32: quota_messages.RightRequest,
         33: quota_messages.RightReleased,
+        # 34 was the exchange of call counts between all nodes.
+        35: quota_messages.ChargeRequest,
+        36: quota_messages.ChargeReply,
+        37: quota_messages.BucketClaim,
+        38: quota_messages.BucketRelease,
     }
 )
 
--- a/tests/adapters/test_ticker.py
+++ b/tests/adapters/test_ticker.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import unittest
 from dataclasses import dataclass, field
 from typing import Any
-from unittest import mock
+from unittest import TestCase, mock
 
 import uvloop
 
@@ -43,7 +42,7 @@
         world.due = now + _DELAY_SECONDS
 
 
-class TimerTest(unittest.TestCase):
+class TimerTest(TestCase):
     """Timers with delays below the resolution of the event loop."""
 
     def test_ticks_once_for_a_due_time(self) -> None:
