Warm up the nodes of the planned stop's test with longer calls

Cause: the warm-up sends calls of 10 ms through 32 callers until the concurrency limits of both nodes reach 20. What the test checks is not concerned.

Change: calls of 200 ms in the warm-up only.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -18,6 +18,10 @@
     },
 )
 _LONG_CALL_MS = 3000
+_SHORT_CALL_MS = 10
+# Concurrency is the product of rate and duration: with long calls, the callers
+# fill the slots of both nodes with few calls a second.
+_WARM_UP_CALL_MS = 200
 _CALLERS = 4
 _WARM_UP_CALLERS = 32
 
@@ -79,7 +83,7 @@
         stop_load = threading.Event()
         with ThreadPoolExecutor(_WARM_UP_CALLERS) as pool:
             for _ in range(_WARM_UP_CALLERS):
-                pool.submit(self._load, stop_load)
+                pool.submit(self._load, stop_load, _WARM_UP_CALL_MS)
             try:
                 wait_until(self._is_warm)
             finally:
@@ -92,10 +96,12 @@
         ]
         return all(load['limit'] >= slots for load in loads)
 
-    def _load(self, stop_load: threading.Event) -> set[int]:
+    def _load(
+        self, stop_load: threading.Event, milliseconds: int = _SHORT_CALL_MS
+    ) -> set[int]:
         statuses = set()
         while not stop_load.is_set():
-            statuses.add(self._call('entry', 10).status)
+            statuses.add(self._call('entry', milliseconds).status)
         return statuses
 
     def _call(self, node_id: str, milliseconds: int) -> Reply:
