Divide the fixed part of the retry budget by the nodes that live

Cause: a constant fleet of 18 nodes divided it.

Change: RetryBounds.fleet_balance is the fixed part of the whole fleet; a node's balance is bounded by its part of it, with the members known to live. Where a part is less than one retry, it is the chance of one.

--- a/src/figlane/entities/world.py
+++ b/src/figlane/entities/world.py
@@ -67,12 +67,15 @@
     """Parameters of the retry budgets, one per service and importance.
 
     A budget is a token bucket: each first attempt adds ``ratio`` retries, up to
-    ``max_balance``. Up to ``free_retries`` further attempts of a call are not
-    charged to the budget as long as no backend server has received it.
+    ``max_balance``. If ``fleet_balance`` is not 0, it is the largest balance of
+    all nodes together, in equal parts. Up to ``free_retries`` further
+    attempts of a call are not charged to the budget as long as no backend
+    server has received it.
     """
 
     ratio: float = 0.1
     max_balance: float = 10.0
+    fleet_balance: float = 0
     free_retries: int = 0
 
 
--- a/src/figlane/platform/node.py
+++ b/src/figlane/platform/node.py
@@ -35,9 +35,6 @@
 _SETTINGS_VARIABLE = 'FIGLANE_CONFIG'
 _EXIT_OK = 0
 _EXIT_BAD_SETTINGS = 2
-# Number of nodes that share the fixed part of a service's retry budget. A
-# larger fleet exceeds the budget only if all its nodes retry at once.
-_EXPECTED_NODES = 18
 # Number of importance levels that share a service's retry budget.
 _IMPORTANCE_LEVELS = 2
 # Attempts of a call that nodes may refuse for reasons of their own before the
@@ -104,10 +101,8 @@
         policies=Policies(rate='owner', limit='none', cold_start='none'),
         retry_bounds=RetryBounds(
             settings.retry_ratio * _RETRY_RATIO_SHARE,
-            max(
-                1, settings.least_retries / _EXPECTED_NODES / _IMPORTANCE_LEVELS
-            ),
-            _UNCHARGED_ATTEMPTS,
+            fleet_balance=settings.least_retries / _IMPORTANCE_LEVELS,
+            free_retries=_UNCHARGED_ATTEMPTS,
         ),
         quota_bounds=settings.quota_bounds,
         disabled_routines=frozenset(('follow-platform',)),
--- a/src/figlane/systems/retries.py
+++ b/src/figlane/systems/retries.py
@@ -8,6 +8,7 @@
 
 from figlane.entities.call import Call, CallPhase
 from figlane.entities.execution import Execution, ExecutionPhase
+from figlane.entities.member import MemberPhase
 from figlane.entities.outbox import LogDecision
 from figlane.entities.retry_budget import RetryBudget
 from figlane.entities.world import World
@@ -145,8 +146,9 @@
     :param call: a call whose first attempt is about to be sent.
     """
     budget = _find_budget(world, call)
-    bounds = world.retry_bounds
-    budget.balance = min(bounds.max_balance, budget.balance + bounds.ratio)
+    budget.balance = min(
+        _max_balance(world), budget.balance + world.retry_bounds.ratio
+    )
 
 
 @retry_policies.register('none')
@@ -174,16 +176,30 @@
     :return: True if the budget had a retry, which is then taken.
     """
     budget = _find_budget(world, call)
-    if budget.balance < 1:
+    if budget.balance >= 1:
+        budget.balance -= 1
+        return True
+    if _max_balance(world) >= 1:
         return False
-    budget.balance -= 1
-    return True
+    # A part of a retry is the chance of one, so that the parts of many nodes
+    # can be used and add up to no more than the budget of the fleet.
+    chance = budget.balance
+    budget.balance = 0
+    return world.random.random() < chance
+
+
+def _max_balance(world: World) -> float:
+    bounds = world.retry_bounds
+    if not bounds.fleet_balance:
+        return bounds.max_balance
+    dead = world.members.count(MemberPhase.DEAD)
+    return bounds.fleet_balance / max(1, len(world.members) - dead)
 
 
 def _find_budget(world: World, call: Call) -> RetryBudget:
     budget_id = f'{call.service_id}/{call.importance}'
     budget = world.retry_budgets.get(budget_id)
     if budget is None:
-        budget = RetryBudget(budget_id, world.retry_bounds.max_balance)
+        budget = RetryBudget(budget_id, _max_balance(world))
         world.retry_budgets.insert(budget)
     return budget
--- a/tests/systems/test_retries.py
+++ b/tests/systems/test_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from collections.abc import Callable
 from random import Random
@@ -19,12 +20,13 @@
 from figlane.entities.call import Call
 from figlane.entities.http import Answer, Request
 from figlane.entities.inbox import CallerDisconnected
+from figlane.entities.member import Member
 from figlane.entities.messages import CallRequest
 from figlane.entities.world import Identity, Policies, RetryBounds, World
 from figlane.errors import ErrorKind
 from figlane.systems.identification import MAX_CALL_DEPTH
 from figlane.systems.links import PING_INTERVAL_SECONDS
-from figlane.systems.retries import allow_by_ratio
+from figlane.systems.retries import allow_by_ratio, credit_retry_budget
 from tests.simulated_network import (
     ATTEMPTS,
     DEADLINE,
@@ -40,6 +42,10 @@
 # idempotent calls are given up.
 _SILENT_STEPS = 9
 _MAX_STEPS = 60
+# Calls of a node in one window, the ratio and the fixed part of the budget.
+_CALLS_PER_NODE = 6
+_RATIO = 0.16
+_FLEET_BALANCE = 100
 _METHODS = st.sampled_from(('GET', 'POST'))
 _EXIT_NODES = tuple(node for node, name in SERVICE_BY_NODE.items() if name)
 
@@ -379,6 +385,46 @@
         self.assertEqual(allowed.count(True), RetryBounds().max_balance)
         self.assertTrue(allow_by_ratio(world, more_important, 0))
 
+    def test_fleet_budget(self) -> None:
+        """The fixed part of the budget holds for fleets of any size.
+
+        All attempts of all nodes fail in one window, after a time in which
+        the balances could fill.
+        """
+        for count in (4, 18, 195, 980):
+            with self.subTest(count=count):
+                members = [
+                    Member(f'n{number}', 1, 'a', '') for number in range(count)
+                ]
+                retries = sum(
+                    _retries_of_node(members, number) for number in range(count)
+                )
+                calls = _CALLS_PER_NODE * count
+                limit = _FLEET_BALANCE + _RATIO * calls
+                # Small fleets use up the fixed part, large ones by chance.
+                deviation = 3 * math.sqrt(_FLEET_BALANCE)
+                self.assertLessEqual(retries, limit + deviation)
+                self.assertGreater(retries, min(_FLEET_BALANCE, calls) / 2)
+
+
+def _retries_of_node(members: list[Member], number: int) -> int:
+    world = World(
+        Identity(f'n{number}', 'a', 1),
+        Random(number),
+        retry_bounds=RetryBounds(_RATIO, fleet_balance=_FLEET_BALANCE),
+    )
+    for member in members:
+        world.members.insert(member)
+    request = Request('GET', '/', ())
+    call = Call('call', 'dues', request, 0)
+    for _ in range(10 * _CALLS_PER_NODE):
+        credit_retry_budget(world, call)
+    retries = 0
+    for _ in range(_CALLS_PER_NODE):
+        credit_retry_budget(world, call)
+        retries += allow_by_ratio(world, call, 0)
+    return retries
+
 
 def _attempts_per_call(policy: str) -> float:
     network = SimulatedNetwork(Policies(retry=policy))
