Split the owner's buckets from its messages

Change: levels and refills go to quota_buckets, requesters that fall silent to quota_requesters. No behaviour changes.

--- a/src/figlane/systems/quota_charges.py
+++ b/src/figlane/systems/quota_charges.py
@@ -25,7 +25,7 @@
 from figlane.registry import RunCondition
 from figlane.systems.lifecycle import finish_call
 from figlane.systems.node_messages import send_message
-from figlane.systems.quota_owner import sustained_allowance
+from figlane.systems.quota_buckets import sustained_allowance
 from figlane.systems.quota_ring import owner_of, ring_members
 from figlane.systems.readiness import has_member_list
 from figlane.systems.registry import (
@@ -109,14 +109,15 @@
     """
     reply: ChargeReply = row.message
     queue = world.quota.charge_queues.get(reply.organisation_id)
-    request = queue.request if queue is not None else None
-    if (
-        queue is None
-        or request is None
-        or request.request_id != reply.request_id
-        or request.node_id != row.sender
-        or now >= request.sent_at + REPLY_TIMEOUT_SECONDS
-    ):
+    request = None if queue is None else queue.request
+    if queue is None or request is None:
+        world.counters['quota.reply.late'] += 1
+        return
+    is_match = (request.request_id, request.node_id) == (
+        reply.request_id,
+        row.sender,
+    )
+    if not is_match or now >= request.sent_at + REPLY_TIMEOUT_SECONDS:
         world.counters['quota.reply.late'] += 1
         return
     queue.request = None
@@ -143,7 +144,7 @@
     """
     message: ChargeRequest = row.message
     queue = world.quota.charge_queues.get(message.organisation_id)
-    request = queue.request if queue is not None else None
+    request = None if queue is None else queue.request
     if queue is None or request is None:
         return
     if request.request_id == message.request_id:
@@ -166,13 +167,10 @@
 def _refuse_expired(world: World, queue: ChargeQueue, now: float) -> None:
     while queue.waiting:
         call = _waiting_call(world, queue.waiting[0])
-        is_expired = (
-            call is not None and now >= call.arrived_at + _MAX_WAIT_SECONDS
-        )
-        if call is not None and not is_expired:
+        if call and now < call.arrived_at + _MAX_WAIT_SECONDS:
             return
         queue.waiting.popleft()
-        if call is not None:
+        if call:
             refusal = Refusal(
                 ErrorKind.QUOTA_UNAVAILABLE,
                 'the owner of the bucket and its successors did not answer',
@@ -236,7 +234,7 @@
     world: World, queue: ChargeQueue, request: OpenCharge, reply: ChargeReply
 ) -> Refusal:
     organisation = world.organisations.get(queue.id)
-    allowance = organisation.allowance if organisation is not None else None
+    allowance = None if organisation is None else organisation.allowance
     if allowance is None:
         return Refusal(
             ErrorKind.FORBIDDEN,
--- a/src/figlane/systems/quota_ring.py
+++ b/src/figlane/systems/quota_ring.py
@@ -10,6 +10,7 @@
 
 from bisect import bisect_left
 from collections.abc import Iterator
+from itertools import chain, islice
 
 import xxhash
 
@@ -29,8 +30,7 @@
     """
     points = _points(world)
     start = bisect_left(points, (_point(organisation_id), ''))
-    for index in range(len(points)):
-        _, member_id = points[(start + index) % len(points)]
+    for _, member_id in chain(points[start:], islice(points, start)):
         member = world.members.get(member_id)
         if member is not None:
             yield member
