--- a/src/figlane/entities/configuration_messages.py
+++ b/src/figlane/entities/configuration_messages.py
@@ -31,6 +31,13 @@
     configuration: ConfigurationReplaced
 
 
+@dataclass(slots=True)
+class ConfigurationNotice:
+    """Tells that the sender has a version of the whole configuration."""
+
+    version: int
+
+
 @dataclass(slots=True)
 class ConfigurationQuery:
     """Starts an anti-entropy exchange of configuration objects.
--- a/src/figlane/entities/feed.py
+++ b/src/figlane/entities/feed.py
@@ -47,6 +47,29 @@
     due: float = NEVER
 
 
+@dataclass(slots=True)
+class ConfigurationExchange:
+    """State of the comparisons of the configuration with peers.
+
+    ``asked_at`` is the time of the latest question, ``answered_at`` that of the
+    latest question that was answered, and ``next_at`` that of the next one.
+    ``misses`` counts the rounds of questions without an answer since then.
+    ``requested_version`` is the version of the whole configuration that was
+    requested from a peer at ``requested_at``. ``asked_id`` is the peer of the
+    latest question that went to only one, and ``silent_id`` the last such peer
+    that left one unanswered and has answered none since.
+    """
+
+    asked_at: float = -NEVER
+    answered_at: float = -NEVER
+    next_at: float = -NEVER
+    misses: int = 0
+    requested_version: int = 0
+    requested_at: float = -NEVER
+    asked_id: str = ''
+    silent_id: str = ''
+
+
 @dataclass(slots=True)
 class ObjectsListed:
     """Inbox row: all objects were read; an unlisted one does not exist.
--- a/src/figlane/entities/gossip.py
+++ b/src/figlane/entities/gossip.py
@@ -50,17 +50,32 @@
 class MembersRequest:
     """Requests a peer's member list, sent only if its checksum differs.
 
-    It is sent over the link, not as a datagram.
+    It is sent over the link, not as a datagram. ``sender`` is the state of the
+    requesting node, which the peer may not know. Only changes after ``since``
+    are needed, a change number of the peer's ``epoch``; 0 requests all.
     """
 
     checksum: int
+    sender: MemberState | None = None
+    since: int = 0
+    epoch: int = 0
 
 
 @dataclass(slots=True)
 class MembersResponse:
-    """Carries a batch of a peer's member list."""
+    """Carries a batch of a peer's member list.
+
+    ``is_news`` is set if other members may not know the states yet. The batch
+    with ``is_last`` completes the changes up to ``change``, a change number of
+    the peer's ``epoch``. ``is_same`` is set if the checksums were equal.
+    """
 
     states: list[MemberState]
+    is_news: bool = False
+    is_last: bool = False
+    is_same: bool = False
+    change: int = 0
+    epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -111,6 +126,13 @@
     ``is_write_in_flight`` is True during a write of this node's member object,
     and ``is_write_needed`` if the member has changed since the last write
     started or that write failed.
+
+    ``last_change`` numbers the changes of members in this node's table and
+    ``change_by_id`` holds that of each member's latest change.
+    ``known_change_by_peer`` holds epoch and change number of a peer up to which
+    this node has its changes. ``is_settled`` is set if the peer that was asked
+    last had the same member list. ``id_by_address`` holds the member that was
+    last seen at each peer address.
     """
 
     sequence: int = 0
@@ -119,3 +141,10 @@
     seeds: tuple[str, ...] = ()
     is_write_in_flight: bool = False
     is_write_needed: bool = False
+    last_change: int = 0
+    change_by_id: dict[str, int] = field(default_factory=dict)
+    known_change_by_peer: dict[str, tuple[int, int]] = field(
+        default_factory=dict
+    )
+    is_settled: bool = False
+    id_by_address: dict[str, str] = field(default_factory=dict)
--- a/src/figlane/entities/kind_feed.py
+++ b/src/figlane/entities/kind_feed.py
@@ -30,10 +30,13 @@
     ``revision`` is the revision from which the next watch continues.
     ``failures`` counts the requests that failed since the last answer.
     ``answered_at`` is the time of the store's last answer for this kind.
+    Until ``alone_at``, a node that is not a watcher waits for a peer to send
+    the objects.
     """
 
     id: str
     pause: float = 0
+    alone_at: float = -NEVER
     revision: int = 0
     failures: int = 0
     answered_at: float = -NEVER
@@ -47,17 +50,26 @@
 
     ``pause`` is the time in seconds between an answer of the store and the
     next watch. Changes made during the pause are fetched by one request.
+    ``delay`` is the time in seconds before the first request, and ``patience``
+    that for which a node that is not a watcher waits for its peers after it.
     """
 
     kinds: tuple[str, ...]
     pause: float = 0
+    delay: float = 0
+    patience: float = 0
 
 
 @dataclass(slots=True)
 class ReadKind:
-    """Outbox row: reads all objects of a kind from the store."""
+    """Outbox row: reads all objects of a kind from the store.
+
+    With ``allow_stale`` the store may answer with a state that is some seconds
+    old.
+    """
 
     kind: str
+    allow_stale: bool = False
 
 
 @dataclass(slots=True)
--- a/src/figlane/entities/member_index.py
+++ b/src/figlane/entities/member_index.py
@@ -1,4 +1,4 @@
-"""Index of the members that can get calls, by service."""
+"""Indexes of the members: those that can get calls, and those that live."""
 
 from __future__ import annotations
 
@@ -18,3 +18,19 @@
     member_revision: int = -1
     domain_revision: int = -1
     by_service: dict[str, list[Member]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class LiveIndex:
+    """Index of the other members that are alive or suspect.
+
+    It is valid for ``revision``, the revision of the table of members from
+    which it was built. ``ids_by_domain`` holds their ids by failure domain, and
+    ``watcher_ids`` the watchers of this node's own failure domain, once they
+    have been asked for.
+    """
+
+    revision: int = -1
+    members: tuple[Member, ...] = ()
+    ids_by_domain: dict[str, list[str]] = field(default_factory=dict)
+    watcher_ids: tuple[str, ...] = ()
--- a/src/figlane/entities/world.py
+++ b/src/figlane/entities/world.py
@@ -10,7 +10,7 @@
 from figlane.entities.backend_server import BackendServer
 from figlane.entities.call import Call
 from figlane.entities.execution import Execution
-from figlane.entities.feed import Feed
+from figlane.entities.feed import ConfigurationExchange, Feed
 from figlane.entities.flow import Flow
 from figlane.entities.gossip import Gossip, OpenProbe
 from figlane.entities.ingress import Ingress, IngressRoute
@@ -18,8 +18,8 @@
 from figlane.entities.latencies import Latencies
 from figlane.entities.ledger import Ledger
 from figlane.entities.link import Link
-from figlane.entities.member import Member
-from figlane.entities.member_index import MemberIndex
+from figlane.entities.member import Contact, JoinState, Member
+from figlane.entities.member_index import LiveIndex, MemberIndex
 from figlane.entities.node_drain import NodeDrain
 from figlane.entities.quota import QuotaState
 from figlane.entities.refused_call import RefusedCall
@@ -122,11 +122,16 @@
     failure_domains: Table[FailureDomain] = field(default_factory=Table)
     backend_servers: Table[BackendServer] = field(default_factory=Table)
     feeds: Table[Feed] = field(default_factory=Table)
+    configuration_exchange: ConfigurationExchange = field(
+        default_factory=ConfigurationExchange
+    )
     kind_feeds: Table[KindFeed] = field(default_factory=Table)
     routines: Table[Routine] = field(default_factory=Table)
     probes: Table[OpenProbe] = field(default_factory=Table)
     node_drains: Table[NodeDrain] = field(default_factory=Table)
     gossip: Gossip = field(default_factory=Gossip)
+    contacts: Table[Contact] = field(default_factory=Table)
+    join: JoinState = field(default_factory=JoinState)
     contacted_at_by_domain: dict[str, float] = field(default_factory=dict)
     flows: Table[Flow] = field(default_factory=Table)
     links: Table[Link] = field(default_factory=Table)
@@ -138,6 +143,7 @@
     virtual_time_by_importance: dict[int, float] = field(default_factory=dict)
     quota: QuotaState = field(default_factory=QuotaState)
     member_index: MemberIndex = field(default_factory=MemberIndex)
+    live_index: LiveIndex = field(default_factory=LiveIndex)
     organisation_by_key_hash: dict[str, str] = field(default_factory=dict)
     execution_by_token: dict[str, str] = field(default_factory=dict)
     failures: list[Exception] = field(default_factory=list)
--- a/src/figlane/platform/feed.py
+++ b/src/figlane/platform/feed.py
@@ -19,6 +19,7 @@
     ReadKind,
     WatchKind,
 )
+from figlane.entities.member import CONTACT_KIND
 from figlane.entities.outbox import WriteObject
 from figlane.entities.service import FailureDomain
 from figlane.platform.configuration import (
@@ -41,17 +42,19 @@
 
 CONFIGURATION_KIND = 'configuration'
 DOMAIN_KIND = 'domain'
-MEMBER_KIND = 'member'
 # Kinds in the store by figlane's own kinds. While an object of ``evacuations``
 # exists, the failure domain of the same name gets no new calls.
 _STORE_KIND_BY_KIND = MappingProxyType(
     {
         CONFIGURATION_KIND: 'config',
         DOMAIN_KIND: 'evacuations',
-        MEMBER_KIND: 'figlane-members',
+        CONTACT_KIND: 'figlane-contacts',
     },
 )
 _CONFIGURATION_NAME = 'main'
+_MEMBER_DOCUMENT = 'member'
+# Types of the documents of the kinds that nodes write.
+_DOCUMENT_BY_KIND = MappingProxyType({CONTACT_KIND: _MEMBER_DOCUMENT})
 
 # Converts an object to an inbox row. The arguments are the object, its version
 # and whether peers may not have this version yet.
@@ -115,7 +118,9 @@
         names: set[str] = set()
         last_name = ''
         while True:
-            page = await self._store.list_page(store_kind, last_name)
+            page = await self._store.list_page(
+                store_kind, last_name, allow_stale=row.allow_stale
+            )
             if isinstance(page, Unavailable):
                 self._report_failure(row.kind, page)
                 return
@@ -204,12 +209,22 @@
         if row.entity is None:
             outcome = await self._store.delete(kind, row.name, revision)
         else:
-            spec = encode_entity(row.kind, row.entity)
-            outcome = await self._store.put(kind, row.name, spec, revision)
-            if isinstance(outcome, RevisionMismatch) and not outcome.revision:
-                outcome = await self._store.create(kind, row.name, spec)
+            spec = encode_entity(_DOCUMENT_BY_KIND[row.kind], row.entity)
+            outcome = await self._put(kind, row.name, spec, revision)
+        if isinstance(outcome, RevisionMismatch) and outcome.current:
+            self._deliver_object(row.kind, outcome.current, is_news=False)
         self._deliver(_write_result(row, outcome))
 
+    async def _put(
+        self, kind: str, name: str, spec: Any, revision: int | None
+    ) -> StoredObject | RevisionMismatch | Unavailable:
+        if revision == 0:
+            return await self._store.create(kind, name, spec)
+        outcome = await self._store.put(kind, name, spec, revision)
+        if revision is None and isinstance(outcome, RevisionMismatch):
+            return await self._store.create(kind, name, spec)
+        return outcome
+
     def _report_failure(self, kind: str, outcome: Unavailable) -> None:
         self._log_reachability(reachable=False, reason=outcome.reason)
         self._deliver(
@@ -260,15 +275,15 @@
     return ObjectChanged(DOMAIN_KIND, name, version, domain, is_news)
 
 
-@_decoders.register(MEMBER_KIND)
-def _decode_member(
+@_decoders.register(CONTACT_KIND)
+def _decode_contact(
     stored: StoredObject,
     version: int,
     is_news: bool,
 ) -> ObjectChanged:
     name = stored.metadata.name
-    record = decode_entity(MEMBER_KIND, name, version, stored.spec)
-    return ObjectChanged(MEMBER_KIND, name, version, record, is_news)
+    record = decode_entity(_MEMBER_DOCUMENT, name, version, stored.spec)
+    return ObjectChanged(CONTACT_KIND, name, version, record, is_news)
 
 
 def _write_version(revision: int) -> int:
--- a/src/figlane/platform/node.py
+++ b/src/figlane/platform/node.py
@@ -20,9 +20,10 @@
 from figlane.adapters.log_stream import LogStream
 from figlane.composition import Node, NodePlan, new_identity
 from figlane.entities.kind_feed import FollowKinds
+from figlane.entities.member import FindContacts
 from figlane.entities.world import Policies, RetryBounds
 from figlane.garbage_collection import configure_garbage_collection
-from figlane.platform.feed import CONFIGURATION_KIND, DOMAIN_KIND, MEMBER_KIND
+from figlane.platform.feed import CONFIGURATION_KIND, DOMAIN_KIND
 from figlane.platform.interface import PlatformInterface
 from figlane.platform.settings import (
     PlatformSettings,
@@ -41,10 +42,17 @@
 # call fails. They are not charged to the retry budget, since no backend server
 # has received the call.
 _UNCHARGED_ATTEMPTS = 2
-# Seconds between an answer of the store about members and the next watch.
-# Without a pause, each start of a node causes a request from every other node
-# to the store. During the pause, nodes receive new members from their peers.
-_MEMBER_WATCH_PAUSE_SECONDS = 1.0
+# Seconds between an answer of the store and the next watch, so that changes in
+# quick succession are fetched together.
+_WATCH_PAUSE_SECONDS = 0.2
+# At the first start of the fleet, all nodes start within a second and no
+# traffic comes for some seconds: they look for contacts one after the other,
+# and the watchers read the configuration only then.
+_FIRST_SPREAD_SECONDS = 2.0
+_FIRST_READ_SECONDS = 6.0
+# Seconds for which a node that is not a watcher waits for a configuration from
+# its peers before it reads the store.
+_PATIENCE_SECONDS = 1.0
 # Share of the agreed retry ratio that nodes use. The rest covers retries of
 # nested calls that are made by executions which are retries themselves.
 _RETRY_RATIO_SHARE = 0.8
@@ -105,11 +113,19 @@
             free_retries=_UNCHARGED_ATTEMPTS,
         ),
         quota_bounds=settings.quota_bounds,
-        disabled_routines=frozenset(('follow-platform',)),
+        disabled_routines=frozenset(('follow-platform', 'write-member')),
         allow_line=allow_line,
         initial_rows=(
-            FollowKinds((CONFIGURATION_KIND, DOMAIN_KIND)),
-            FollowKinds((MEMBER_KIND,), _MEMBER_WATCH_PAUSE_SECONDS),
+            FindContacts(
+                settings.failure_domains,
+                _FIRST_SPREAD_SECONDS if settings.is_first_start else 0,
+            ),
+            FollowKinds(
+                (CONFIGURATION_KIND, DOMAIN_KIND),
+                _WATCH_PAUSE_SECONDS,
+                _FIRST_READ_SECONDS if settings.is_first_start else 0,
+                _PATIENCE_SECONDS,
+            ),
         ),
     )
     return Node(
--- a/src/figlane/platform/objects.py
+++ b/src/figlane/platform/objects.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import urlencode
 
 import msgspec
 
@@ -87,10 +88,12 @@
     """Outcome of a write whose condition did not hold.
 
     ``revision`` is the object's current revision, 0 if the object does not
-    exist or its revision is unknown.
+    exist or its revision is unknown. ``current`` is the object itself, if the
+    store returned it.
     """
 
     revision: int
+    current: StoredObject | None = None
 
 
 class ObjectStore:
@@ -114,14 +117,23 @@
         self,
         kind: str,
         after_name: str = '',
+        *,
+        allow_stale: bool = False,
     ) -> Listing | Unavailable:
         """Read one page of the objects of a kind, sorted by name.
 
         :param kind: the kind in the store.
         :param after_name: last name of the previous page; empty for the first.
+        :param allow_stale: whether the page may be some seconds old, which
+            costs the store less.
         :return: the page.
         """
-        query = f'?after={after_name}' if after_name else ''
+        fields = {}
+        if after_name:
+            fields['after'] = after_name
+        if allow_stale:
+            fields['allow_stale'] = '1'
+        query = f'?{urlencode(fields)}' if fields else ''
         outcome = await self._send('GET', f'/objects/{kind}{query}')
         return _decode_answer(outcome, Listing)
 
@@ -243,6 +255,6 @@
     if outcome.status == _CONFLICT:
         current = _decode_answer(Answer(_OK, (), outcome.body), StoredObject)
         if isinstance(current, StoredObject):
-            return RevisionMismatch(current.metadata.revision)
+            return RevisionMismatch(current.metadata.revision, current)
         return RevisionMismatch(0)
     return _decode_answer(outcome, StoredObject)
--- a/src/figlane/platform/settings.py
+++ b/src/figlane/platform/settings.py
@@ -24,7 +24,8 @@
     """Identity of the node.
 
     ``app_addr`` and ``service`` are the address and the service of the backend
-    server on the same VM.
+    server on the same VM. ``first_start`` is set only when the whole fleet
+    starts for the first time.
     """
 
     node: str
@@ -32,6 +33,7 @@
     zone: str
     app_addr: _Address
     service: str
+    first_start: bool = False
 
 
 class ListenTable(msgspec.Struct, frozen=True):
@@ -50,13 +52,15 @@
 class NetworkTable(msgspec.Struct, frozen=True):
     """Listening addresses and the port range for traffic between nodes.
 
-    ``internal_ports`` holds the first and the last port of the range.
+    ``internal_ports`` holds the first and the last port of the range, ``zones``
+    the region of each failure domain.
     """
 
     listen: ListenTable
     internal_ports: Annotated[
         list[_Port], msgspec.Meta(min_length=2, max_length=2)
     ]
+    zones: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 class StoreTable(msgspec.Struct, frozen=True):
@@ -131,6 +135,8 @@
     retry_window_seconds: float
     quota_bounds: QuotaBounds
     metrics_port: int = 0
+    is_first_start: bool = False
+    failure_domains: tuple[str, ...] = ()
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -175,6 +181,10 @@
                 bounds.quota_overage,
                 bounds.quota_slack,
             ),
+            is_first_start=tables.owner.first_start,
+            failure_domains=tuple(
+                sorted({*tables.network.zones, tables.owner.zone})
+            ),
         )
     except ValueError as error:
         raise CheckError([Problem('$', str(error))]) from None
--- a/src/figlane/systems/configuration.py
+++ b/src/figlane/systems/configuration.py
@@ -20,7 +20,7 @@
 from figlane.systems.pushing import push_to_random_members
 from figlane.systems.registry import Registry, inbox_handlers
 
-ObjectApplier = Callable[[World, ObjectChanged], bool]
+ObjectApplier = Callable[[World, ObjectChanged, float], bool]
 
 object_appliers: Registry[ObjectApplier] = Registry('kind of object')
 
@@ -37,11 +37,13 @@
     :param row: the version.
     :param now: the present time in seconds.
     """
-    if object_appliers.find(row.kind)(world, row) and row.is_news:
+    if object_appliers.find(row.kind)(world, row, now) and row.is_news:
         push_to_random_members(world, row)
 
 
-def delete_unlisted_objects(world: World, row: ObjectsListed) -> None:
+def delete_unlisted_objects(
+    world: World, row: ObjectsListed, now: float
+) -> None:
     """Delete the objects that a complete listing does not contain.
 
     An object whose version is higher than the listing's revision was written
@@ -50,13 +52,14 @@
 
     :param world: the tables.
     :param row: the listing with the names of all existing objects.
+    :param now: the present time in seconds.
     """
     feed = get_feed(world)
     feed.listed_revision = max(feed.listed_revision, row.revision)
     for kind, name, version in known_versions(world):
         if (kind, name) not in row.names and version <= row.revision:
             deletion = ObjectChanged(kind, name, row.revision, None)
-            object_appliers.find(kind)(world, deletion)
+            object_appliers.find(kind)(world, deletion, now)
 
 
 def get_feed(world: World) -> Feed:
@@ -141,11 +144,12 @@
 
 
 @object_appliers.register('service')
-def apply_service(world: World, row: ObjectChanged) -> bool:
+def apply_service(world: World, row: ObjectChanged, now: float) -> bool:
     """Put a service document into force.
 
     :param world: the tables.
     :param row: the new version.
+    :param now: the present time in seconds.
     :return: whether it is newer than the known version.
     """
     tombstone = Service(row.name, row.version)
@@ -153,7 +157,7 @@
 
 
 @object_appliers.register('organisation')
-def apply_organisation(world: World, row: ObjectChanged) -> bool:
+def apply_organisation(world: World, row: ObjectChanged, now: float) -> bool:
     """Put an organisation's API keys into force.
 
     A key listed by several organisations belongs to the one with the highest
@@ -161,6 +165,7 @@
 
     :param world: the tables.
     :param row: the new version.
+    :param now: the present time in seconds.
     :return: whether it is newer than the known version.
     """
     known = world.organisations.get(row.name)
@@ -188,11 +193,12 @@
 
 
 @object_appliers.register('domain')
-def apply_failure_domain(world: World, row: ObjectChanged) -> bool:
+def apply_failure_domain(world: World, row: ObjectChanged, now: float) -> bool:
     """Put a failure domain's state into force.
 
     :param world: the tables.
     :param row: the new version.
+    :param now: the present time in seconds.
     :return: whether it is newer than the known version.
     """
     was_taken_out = is_taken_out(world, row.name)
@@ -217,15 +223,16 @@
 
 
 @object_appliers.register('member')
-def apply_member(world: World, row: ObjectChanged) -> bool:
+def apply_member(world: World, row: ObjectChanged, now: float) -> bool:
     """Merge or remove a member's record.
 
     :param world: the tables.
     :param row: the new version.
+    :param now: the present time in seconds.
     :return: False, since members are spread by gossip and not pushed.
     """
     if row.entity is None:
         handle_record_deleted(world, row.name)
         return False
-    merge_record(world, row.entity, row.version)
+    merge_record(world, row.entity, row.version, now)
     return False
--- a/src/figlane/systems/configuration_exchange.py
+++ b/src/figlane/systems/configuration_exchange.py
@@ -6,30 +6,45 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import xxhash
 
 from figlane.entities.configuration_messages import (
+    ConfigurationNotice,
     ConfigurationQuery,
     ConfigurationStatus,
     ObjectPush,
     ObjectRequest,
 )
 from figlane.entities.inbox import ObjectChanged, PeerMessage
+from figlane.entities.member import Member
 from figlane.entities.service import ConfigurationPhase
 from figlane.entities.world import World
 from figlane.systems.configuration import configuration_tables, get_feed
 from figlane.systems.node_messages import send_message
 from figlane.systems.pushing import push_configuration, push_object
 from figlane.systems.registry import peer_handlers, routines
-from figlane.systems.rendezvous import live_members, watcher_ids
+from figlane.systems.rendezvous import (
+    live_ids_by_domain,
+    live_members,
+    watcher_ids,
+)
 from figlane.systems.scheduling import jittered
+from figlane.systems.watching import follow_store, is_in_charge, lacks_answers
 
 ROUTINE = 'compare-configuration'
 
 # Object name that stands for the whole configuration.
 CONFIGURATION_NAME = 'configuration/main'
-# Mean time between two exchanges started by a node.
-EXCHANGE_INTERVAL_SECONDS = 1.0
+# Longest time between two exchanges started by a node, and the shortest as a
+# fraction of it.
+EXCHANGE_INTERVAL_SECONDS = 1.2
+_MIN_INTERVAL_FACTOR = 0.6
+# Time for which an answer is awaited, and number of peers that are asked after
+# a missed one.
+ANSWER_TIMEOUT_SECONDS = 0.25
+_PEERS_AFTER_MISS = 2
 # Age of its configuration above which a node contacts one peer in each failure
 # domain.
 _STALE_SECONDS = 3.0
@@ -46,25 +61,55 @@
     :param now: the present time in seconds.
     :return: time of the next exchange, in seconds.
     """
+    exchange = world.configuration_exchange
+    is_answered = exchange.answered_at >= exchange.asked_at
+    if is_answered and now < exchange.next_at:
+        return exchange.next_at
+    if not is_answered:
+        exchange.misses += 1
+        exchange.silent_id = exchange.asked_id or exchange.silent_id
+        if lacks_answers(world) or is_in_charge(world):
+            follow_store(world, now)
     question = ConfigurationQuery(now, checksum(world))
-    for node_id in _choose_peers(world, now):
+    peers = _choose_peers(world, now)
+    exchange.asked_id = peers[0] if len(peers) == 1 else ''
+    for node_id in peers:
         send_message(world, node_id, question)
-    return now + jittered(world, EXCHANGE_INTERVAL_SECONDS)
+    if not peers:
+        return now + jittered(world, EXCHANGE_INTERVAL_SECONDS)
+    exchange.asked_at = now
+    exchange.next_at = now + EXCHANGE_INTERVAL_SECONDS * (
+        _MIN_INTERVAL_FACTOR
+        + (1 - _MIN_INTERVAL_FACTOR) * world.random.random()
+    )
+    return now + ANSWER_TIMEOUT_SECONDS
 
 
 def _choose_peers(world: World, now: float) -> list[str]:
     members = live_members(world)
     if not members:
         return []
-    if now - get_feed(world).current_at > _STALE_SECONDS:
-        world.random.shuffle(members)
-        by_domain = {member.failure_domain: member.id for member in members}
-        return list(by_domain.values())
+    if world.configuration_exchange.misses:
+        count = min(_PEERS_AFTER_MISS, len(members))
+        return [peer.id for peer in world.random.sample(members, count)]
+    if not world.kind_feeds and (
+        now - get_feed(world).current_at > _STALE_SECONDS
+    ):
+        ids_by_domain = live_ids_by_domain(world)
+        return [world.random.choice(ids) for ids in ids_by_domain.values()]
+    return [_choose_peer(world, members)]
+
+
+def _choose_peer(world: World, members: Sequence[Member]) -> str:
     watchers = watcher_ids(world)
-    if world.identity.node_id not in watchers:
-        if world.random.random() < _WATCHER_PROBABILITY:
-            return [world.random.choice(watchers)]
-    return [world.random.choice(members).id]
+    own_id = world.identity.node_id
+    if own_id in watchers[1:] and world.kind_feeds:
+        # A standby finds out within one exchange that the first is silent.
+        return watchers[0]
+    is_other = own_id not in watchers
+    if is_other and world.random.random() < _WATCHER_PROBABILITY:
+        return world.random.choice(watchers)
+    return world.random.choice(members).id
 
 
 def checksum(world: World) -> int:
@@ -140,6 +185,11 @@
     status: ConfigurationStatus = row.message
     if status.asked_at > now:
         return
+    exchange = world.configuration_exchange
+    exchange.answered_at = max(exchange.answered_at, status.asked_at)
+    exchange.misses = 0
+    if exchange.silent_id == row.sender:
+        exchange.silent_id = ''
     if not status.is_same:
         missing = _synchronise(world, row.sender, status.version_by_name)
         if missing:
@@ -153,7 +203,6 @@
     sender: str,
     peer_versions: dict[str, int],
 ) -> list[str]:
-    lowest_version = get_feed(world).listed_revision
     own_versions = version_by_name(world)
     newer = [
         name
@@ -164,10 +213,18 @@
     return [
         name
         for name, version in peer_versions.items()
-        if version > own_versions.get(name, lowest_version)
+        if version > own_versions.get(name, _lowest_version(world, name))
     ]
 
 
+def _lowest_version(world: World, name: str) -> int:
+    # A listing says nothing about the whole configuration, which is never
+    # deleted.
+    if name == CONFIGURATION_NAME:
+        return 0
+    return get_feed(world).listed_revision
+
+
 def _record_contact(
     world: World,
     sender: str,
@@ -208,6 +265,28 @@
         push_object(world, node_id, kind, name, found.version, entity)
 
 
+@peer_handlers.register(ConfigurationNotice)
+def handle_configuration_notice(
+    world: World, row: PeerMessage, now: float
+) -> None:
+    """Request a configuration that this node lacks, once.
+
+    :param world: the tables.
+    :param row: the version that the peer has.
+    :param now: the present time in seconds.
+    """
+    version = row.message.version
+    exchange = world.configuration_exchange
+    if version <= world.ingress.version:
+        return
+    is_requested = now < exchange.requested_at + ANSWER_TIMEOUT_SECONDS
+    if is_requested and version <= exchange.requested_version:
+        return
+    exchange.requested_at = now
+    exchange.requested_version = version
+    send_message(world, row.sender, ObjectRequest([CONFIGURATION_NAME]))
+
+
 @peer_handlers.register(ObjectPush)
 def handle_object_push(world: World, row: PeerMessage, now: float) -> None:
     """Queue an object pushed by a peer; if it is new, it is pushed further.
--- a/src/figlane/systems/feed.py
+++ b/src/figlane/systems/feed.py
@@ -74,7 +74,7 @@
     :param row: the listing with the names of all existing objects.
     :param now: the present time in seconds.
     """
-    delete_unlisted_objects(world, row)
+    delete_unlisted_objects(world, row, now)
     feed = get_feed(world)
     feed.next_read_at = now + jittered(world, READ_INTERVAL_SECONDS)
     _record_answer(world, row.revision, now)
--- a/src/figlane/systems/ingress.py
+++ b/src/figlane/systems/ingress.py
@@ -16,7 +16,7 @@
 from figlane.entities.outbox import LogDecision
 from figlane.entities.table import Table
 from figlane.entities.world import World
-from figlane.systems.pushing import push_configuration_to_random_members
+from figlane.systems.pushing import announce_configuration
 from figlane.systems.registry import (
     configuration_observers,
     inbox_handlers,
@@ -32,8 +32,8 @@
 ) -> None:
     """Apply a configuration snapshot newer than the one in force.
 
-    Rows that the snapshot does not contain are removed. A snapshot that peers
-    may not have yet is pushed to some of them, chosen at random.
+    Rows that the snapshot does not contain are removed. Some peers,
+    chosen at random, are told of a snapshot that they may not have yet.
 
     :param world: the tables.
     :param row: the configuration snapshot.
@@ -71,7 +71,7 @@
     for observe in configuration_observers.by_key.values():
         observe(world, now)
     if row.is_news:
-        push_configuration_to_random_members(world)
+        announce_configuration(world)
 
 
 @peer_handlers.register(ConfigurationPush)
--- a/src/figlane/systems/kind_feeds.py
+++ b/src/figlane/systems/kind_feeds.py
@@ -1,4 +1,10 @@
-"""Schedules this node's reads and watches of each kind of object."""
+"""Schedules this node's reads and watches of each kind of object.
+
+One watcher in each failure domain watches the store, and a standby while that
+one is silent; they tell other nodes of changes, and all nodes compare versions
+each second. A node reads and watches by itself while peers do not answer, and
+at its start if none of them has sent it the objects.
+"""
 
 from __future__ import annotations
 
@@ -13,17 +19,33 @@
     ReadKind,
     WatchKind,
 )
+from figlane.entities.member import CONTACT_KIND, ContactPhase
 from figlane.entities.service import ConfigurationPhase
 from figlane.entities.world import World
 from figlane.registry import RunCondition
-from figlane.systems.configuration import configuration_tables, object_appliers
-from figlane.systems.registry import Stage, inbox_handlers, system
+from figlane.systems.configuration import (
+    configuration_tables,
+    get_feed,
+    object_appliers,
+)
+from figlane.systems.readiness import has_member_list
+from figlane.systems.registry import (
+    Stage,
+    inbox_handlers,
+    list_handlers,
+    system,
+)
 from figlane.systems.scheduling import jittered
-
-# Longest wait of one watch. Peers push changes and compare versions each
-# second, so a long watch delays nothing. It has to stay below 20 s, the
-# shortest history that the store keeps.
-WATCH_TIMEOUT_SECONDS = 15.0
+from figlane.systems.watching import is_in_charge, lacks_answers
+
+# Longest wait of one watch; the platform allows 30 s. Peers push changes and
+# compare versions each second, so a long watch delays nothing.
+WATCH_TIMEOUT_SECONDS = 28.0
+# Age above which a revision may no longer be in the history, so that a complete
+# read takes the place of a watch.
+_MAX_REVISION_AGE_SECONDS = 17.0
+# Mean time between two checks whether this node has become a watcher.
+_ROLE_CHECK_SECONDS = 1.0
 # Initial and maximum delay of the exponential backoff after a failed request.
 # They are short, so that within 2 s after the end of an outage all nodes have
 # read the objects again.
@@ -40,8 +62,12 @@
     :param row: the kinds.
     :param now: the present time in seconds.
     """
+    first_at = now + row.delay
     for kind in row.kinds:
-        world.kind_feeds.insert(KindFeed(kind, row.pause, due=now))
+        alone_at = first_at + row.patience
+        world.kind_feeds.insert(
+            KindFeed(kind, row.pause, alone_at, due=first_at)
+        )
 
 
 @system(Stage.CONFIGURATION, RunCondition('kind_feeds'))
@@ -52,13 +78,32 @@
     :param now: the present time in seconds.
     """
     for feed in world.kind_feeds.pop_due(now):
-        if feed.phase is KindFeedPhase.UNREAD:
-            world.kind_feeds.move(feed, KindFeedPhase.READING)
-            world.outbox.append(ReadKind(feed.id))
-        elif feed.phase is KindFeedPhase.READ:
-            world.kind_feeds.move(feed, KindFeedPhase.WATCHING)
-            watch = WatchKind(feed.id, feed.revision, WATCH_TIMEOUT_SECONDS)
-            world.outbox.append(watch)
+        if not _follows(world, feed, now):
+            check_at = now + jittered(world, _ROLE_CHECK_SECONDS)
+            if now < feed.alone_at:
+                check_at = min(check_at, feed.alone_at)
+            world.kind_feeds.schedule(feed, check_at)
+            continue
+        _start_request(world, feed, now)
+
+
+def _start_request(world: World, feed: KindFeed, now: float) -> None:
+    is_old = now - feed.answered_at > _MAX_REVISION_AGE_SECONDS
+    if feed.phase is KindFeedPhase.UNREAD or is_old:
+        world.kind_feeds.move(feed, KindFeedPhase.READING)
+        world.outbox.append(ReadKind(feed.id))
+    elif feed.phase is KindFeedPhase.READ:
+        world.kind_feeds.move(feed, KindFeedPhase.WATCHING)
+        watch = WatchKind(feed.id, feed.revision, WATCH_TIMEOUT_SECONDS)
+        world.outbox.append(watch)
+
+
+def _follows(world: World, feed: KindFeed, now: float) -> bool:
+    # The objects of all kinds come from peers together with a configuration.
+    if now < feed.alone_at:
+        return has_member_list(world) and is_in_charge(world)
+    is_missing = not world.ingress.version
+    return is_missing or is_in_charge(world) or lacks_answers(world)
 
 
 @inbox_handlers.register(KindListed)
@@ -72,7 +117,16 @@
     for name, version in _known_versions(world, row.kind):
         if name not in row.names and version < row.version:
             deletion = ObjectChanged(row.kind, name, row.version, None)
-            object_appliers.find(row.kind)(world, deletion)
+            object_appliers.find(row.kind)(world, deletion, now)
+    if row.kind in list_handlers.by_key:
+        list_handlers.find(row.kind)(world, answered=True, now=now)
+    if row.kind in configuration_tables(world):
+        # An unlisted object that a peer still has was deleted while this node
+        # did not run.
+        store_feed = get_feed(world)
+        store_feed.listed_revision = max(
+            store_feed.listed_revision, row.version
+        )
     _record_answer(world, row.kind, row.revision, now)
 
 
@@ -95,10 +149,12 @@
     :param row: the failure.
     :param now: the present time in seconds.
     """
+    world.counters['platform.failed'] += 1
+    if row.kind in list_handlers.by_key:
+        list_handlers.find(row.kind)(world, answered=False, now=now)
     feed = world.kind_feeds.get(row.kind)
     if feed is None:
         return
-    world.counters['platform.failed'] += 1
     was_reading = feed.phase is KindFeedPhase.READING
     needs_read = was_reading or row.is_history_lost
     feed.failures += 1
@@ -123,8 +179,11 @@
 
 
 def _known_versions(world: World, kind: str) -> list[tuple[str, int]]:
-    if kind == 'member':
-        return [(member.id, member.version) for member in world.members]
+    if kind == CONTACT_KIND:
+        return [
+            (contact.id, contact.version)
+            for contact in world.contacts.in_phase(ContactPhase.TAKEN)
+        ]
     table = configuration_tables(world).get(kind)
     if table is None:
         return []
--- a/src/figlane/systems/leaving.py
+++ b/src/figlane/systems/leaving.py
@@ -5,6 +5,7 @@
 from figlane.entities.call import CallPhase
 from figlane.entities.execution import ExecutionPhase
 from figlane.entities.gossip import MembersResponse, MemberState
+from figlane.entities.link import LinkPhase
 from figlane.entities.member import MemberPhase
 from figlane.entities.node_drain import (
     DRAIN_ID,
@@ -77,10 +78,12 @@
 
 
 def _announce_leaving(world: World) -> None:
+    # Only nodes that exchange messages with this one have to know at once. The
+    # others learn of it by gossip, or from the refusal of their first call.
     own = own_member(world)
     state = MemberState(record_of(own), own.phase.value)
-    for member in live_members(world):
-        send_message(world, member.id, MembersResponse([state]))
+    for link in world.links.in_phase(LinkPhase.OPEN):
+        send_message(world, link.id, MembersResponse([state], is_news=True))
 
 
 @system(
--- a/src/figlane/systems/member_lists.py
+++ b/src/figlane/systems/member_lists.py
@@ -1,7 +1,12 @@
-"""Anti-entropy of member lists, which repairs gaps left by lost datagrams."""
+"""Anti-entropy of member lists, which repairs gaps left by lost datagrams.
+
+A node that joins gets its first member list in the same way.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import xxhash
 
 from figlane.entities.gossip import (
@@ -10,24 +15,33 @@
     MemberState,
 )
 from figlane.entities.inbox import PeerMessage
-from figlane.entities.member import MemberPhase
+from figlane.entities.member import Member, MemberPhase
 from figlane.entities.world import World
-from figlane.systems.membership import merge_state, record_of
+from figlane.systems.membership import merge_state, own_member, record_of
 from figlane.systems.node_messages import send_message
 from figlane.systems.registry import peer_handlers, routines
 from figlane.systems.rendezvous import live_members
-from figlane.systems.scheduling import jittered
+from figlane.systems.scheduling import bring_forward, jittered
 
 # Mean time between two exchanges, and between attempts while no peer is known.
 EXCHANGE_INTERVAL_SECONDS = 15.0
 _RETRY_SECONDS = 0.5
+# Mean time between two exchanges while member lists differ, and shortly after
+# this node has joined: other nodes may have started at the same time.
+_EARLY_INTERVAL_SECONDS = 1.0
+_EARLY_SECONDS = 8.0
+# Probability of asking any member then: all contacts may lack a member.
+_ANY_PEER_PROBABILITY = 0.2
 # Member states in one message.
 _BATCH_SIZE = 200
+_ROUTINE = 'compare-members'
+# Routine that starts an exchange of the configuration.
+_CONFIGURATION_ROUTINE = 'compare-configuration'
 
 
-@routines.register('compare-members')
+@routines.register(_ROUTINE)
 def compare_members(world: World, now: float) -> float:
-    """Send the checksum of this node's member list to a random member.
+    """Send the checksum of this node's member list to a member.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -36,9 +50,41 @@
     members = live_members(world)
     if not members:
         return now + jittered(world, _RETRY_SECONDS)
-    question = MembersRequest(checksum(world))
-    send_message(world, world.random.choice(members).id, question)
-    return now + jittered(world, EXCHANGE_INTERVAL_SECONDS)
+    gossip = world.gossip
+    if gossip.is_settled and now >= world.join.joined_at + _EARLY_SECONDS:
+        ask_for_members(world, world.random.choice(members).id)
+        return now + jittered(world, EXCHANGE_INTERVAL_SECONDS)
+    ask_for_members(world, _early_peer(world, members))
+    return now + jittered(world, _EARLY_INTERVAL_SECONDS)
+
+
+def _early_peer(world: World, members: Sequence[Member]) -> str:
+    # Nodes that start at the same time learn of each other by their contacts,
+    # and contacts by each other. A peer that was asked before sends only what
+    # has changed since.
+    contact_ids = _contact_ids(world)
+    if world.identity.node_id not in contact_ids:
+        contact_ids &= world.gossip.known_change_by_peer.keys()
+    preferred: Sequence[Member] = [
+        member for member in members if member.id in contact_ids
+    ]
+    if world.random.random() < _ANY_PEER_PROBABILITY:
+        preferred = members
+    return world.random.choice(preferred or members).id
+
+
+def ask_for_members(world: World, node_id: str) -> None:
+    """Ask a member for the changes of its member list.
+
+    :param world: the tables.
+    :param node_id: the member, whose address is known.
+    """
+    own = own_member(world)
+    known = world.gossip.known_change_by_peer
+    epoch, change = known.get(node_id, (0, 0))
+    sender = MemberState(record_of(own), own.phase.value)
+    request = MembersRequest(checksum(world), sender, change, epoch)
+    send_message(world, node_id, request)
 
 
 def checksum(world: World) -> int:
@@ -57,22 +103,67 @@
 
 @peer_handlers.register(MembersRequest)
 def handle_members_question(world: World, row: PeerMessage, now: float) -> None:
-    """Send this node's member list if its checksum differs from the peer's.
+    """Send the members that differ from those that the peer knows.
 
     :param world: the tables.
-    :param row: the peer's checksum.
+    :param row: the peer's checksum and what it knows of this node's list.
     :param now: the present time in seconds.
     """
-    if row.message.checksum == checksum(world):
+    request: MembersRequest = row.message
+    if request.sender is not None:
+        _introduce_to_contacts(world, request.sender)
+        merge_state(world, request.sender, now)
+    gossip = world.gossip
+    own_epoch = world.identity.incarnation
+    since = request.since if request.epoch == own_epoch else 0
+    states = []
+    is_same = request.checksum == checksum(world)
+    if not is_same:
+        states = [
+            MemberState(record_of(member), member.phase.value)
+            for member in world.members
+            if _is_changed(world, member, since)
+        ]
+    while len(states) > _BATCH_SIZE:
+        batch = MembersResponse(states[:_BATCH_SIZE])
+        send_message(world, row.sender, batch)
+        states = states[_BATCH_SIZE:]
+    last = MembersResponse(
+        states,
+        is_last=True,
+        is_same=is_same,
+        change=gossip.last_change,
+        epoch=own_epoch,
+    )
+    send_message(world, row.sender, last)
+
+
+def _introduce_to_contacts(world: World, state: MemberState) -> None:
+    # Each contact knows of all nodes that joined by any of them, so that nodes
+    # that start at the same time soon have complete lists.
+    contact_ids = _contact_ids(world)
+    is_known = state.record.id in world.members
+    if is_known or world.identity.node_id not in contact_ids:
         return
-    states = [
-        MemberState(record_of(member), member.phase.value)
-        for member in world.members
-    ]
-    for start in range(0, len(states), _BATCH_SIZE):
-        end = start + _BATCH_SIZE
-        batch = states[start:end]
-        send_message(world, row.sender, MembersResponse(batch))
+    for member in live_members(world):
+        if member.id in contact_ids:
+            send_message(
+                world, member.id, MembersResponse([state], is_news=True)
+            )
+
+
+def _contact_ids(world: World) -> set[str]:
+    return {
+        contact.record.id
+        for contact in world.contacts
+        if contact.record is not None
+    }
+
+
+def _is_changed(world: World, member: Member, since: int) -> bool:
+    if not since:
+        return True
+    return world.gossip.change_by_id.get(member.id, 0) > since
 
 
 @peer_handlers.register(MembersResponse)
@@ -83,5 +174,18 @@
     :param row: a batch of the peer's member list.
     :param now: the present time in seconds.
     """
-    for state in row.message.states:
-        merge_state(world, state, now)
+    answer: MembersResponse = row.message
+    for state in answer.states:
+        merge_state(world, state, now, spreads=answer.is_news)
+    if not answer.is_last:
+        return
+    world.gossip.is_settled = answer.is_same
+    known = world.gossip.known_change_by_peer
+    known[row.sender] = (answer.epoch, answer.change)
+    if not answer.is_same:
+        retry_at = now + jittered(world, _EARLY_INTERVAL_SECONDS)
+        bring_forward(world, _ROUTINE, retry_at)
+    if not world.join.has_joined:
+        world.join.has_joined = True
+        world.join.joined_at = now
+        bring_forward(world, _CONFIGURATION_ROUTINE, now)
--- a/src/figlane/systems/membership.py
+++ b/src/figlane/systems/membership.py
@@ -60,6 +60,7 @@
             gossip_address=identity.gossip_address,
         )
         world.members.insert(member)
+        world.gossip.id_by_address[member.peer_address] = member.id
     return member
 
 
@@ -88,15 +89,28 @@
     queue_gossip(world, member.id)
 
 
+def record_change(world: World, member_id: str) -> None:
+    """Number a change of a member, so that peers can ask for later ones.
+
+    :param world: the tables.
+    :param member_id: the member.
+    """
+    gossip = world.gossip
+    gossip.last_change += 1
+    gossip.change_by_id[member_id] = gossip.last_change
+
+
 def queue_gossip(world: World, member_id: str) -> None:
     """Queue a member's state to be piggybacked on the next datagrams.
 
     :param world: the tables.
     :param member_id: the member.
     """
+    gossip = world.gossip
+    record_change(world, member_id)
     doublings = math.ceil(math.log2(len(world.members) + 2))
     count = doublings * _RETRANSMISSION_FACTOR
-    world.gossip.transmissions_by_id[member_id] = count
+    gossip.transmissions_by_id[member_id] = count
 
 
 def record_of(member: Member) -> MemberRecord:
@@ -118,7 +132,13 @@
     )
 
 
-def merge_state(world: World, state: MemberState, now: float) -> None:
+def merge_state(
+    world: World,
+    state: MemberState,
+    now: float,
+    *,
+    spreads: bool = True,
+) -> None:
     """Merge a member's state from a peer if it is newer than the known one.
 
     A wrong state of this node itself is refuted.
@@ -126,6 +146,8 @@
     :param world: the tables.
     :param state: the member's state.
     :param now: the present time in seconds.
+    :param spreads: whether to pass the state on by gossip. States of a whole
+        member list have reached other members already.
     """
     record = state.record
     phase = MemberPhase(state.phase)
@@ -135,11 +157,11 @@
     known = world.members.get(record.id)
     if known is None:
         if phase is not MemberPhase.DEAD:
-            set_member(world, record, phase, now)
+            set_member(world, record, phase, now, spreads=spreads)
         return
     received = (record.incarnation, _PHASE_RANK[phase])
     if received > (known.incarnation, _PHASE_RANK[known.phase]):
-        set_member(world, record, phase, now)
+        set_member(world, record, phase, now, spreads=spreads)
 
 
 def _refute_if_wrong(
@@ -158,6 +180,8 @@
     record: MemberRecord,
     phase: MemberPhase,
     now: float,
+    *,
+    spreads: bool = True,
 ) -> None:
     """Replace a member's row and queue its state for gossip.
 
@@ -167,6 +191,7 @@
     :param record: the member's record.
     :param phase: its new phase.
     :param now: the present time in seconds.
+    :param spreads: whether to queue the state for gossip.
     """
     known = world.members.get(record.id)
     fields = {
@@ -187,7 +212,10 @@
     member.due = _phase_due(phase, now)
     world.members.insert(member)
     world.counters[f'member.{phase.value}'] += 1
-    queue_gossip(world, record.id)
+    if spreads:
+        queue_gossip(world, record.id)
+    else:
+        record_change(world, record.id)
     if phase is not MemberPhase.DEAD and member.peer_address:
         _declare_predecessors_dead(world, member, now)
 
@@ -197,16 +225,20 @@
 ) -> None:
     # Only one node can listen on an address, so of several members with the
     # same address all but the one with the highest incarnation are dead.
-    sharing = [
-        other
-        for other in world.members
-        if other.peer_address == member.peer_address
-        and other.phase is not MemberPhase.DEAD
-    ]
-    newest = max(sharing, key=lambda other: other.incarnation)
-    for other in sharing:
-        if other is not newest and other.id != world.identity.node_id:
-            set_member(world, record_of(other), MemberPhase.DEAD, now)
+    id_by_address = world.gossip.id_by_address
+    previous = world.members.get(id_by_address.get(member.peer_address, ''))
+    id_by_address[member.peer_address] = member.id
+    if previous is None or previous.id == member.id:
+        return
+    is_sharing = previous.peer_address == member.peer_address
+    if not is_sharing or previous.phase is MemberPhase.DEAD:
+        return
+    older, newer = sorted(
+        (previous, member), key=lambda other: other.incarnation
+    )
+    id_by_address[member.peer_address] = newer.id
+    if older.id != world.identity.node_id:
+        set_member(world, record_of(older), MemberPhase.DEAD, now)
 
 
 def _log_change(world: World, known: Member | None, member: Member) -> None:
@@ -236,15 +268,17 @@
     world: World,
     record: MemberRecord,
     version: int,
+    now: float,
 ) -> None:
     """Merge a member's record that was read from the store.
 
     :param world: the tables.
     :param record: the record in the store.
     :param version: the record's version in the store.
+    :param now: the present time in seconds.
     """
     phase = MemberPhase.LEAVING if record.leaving else MemberPhase.ALIVE
-    merge_state(world, MemberState(record, phase.value), 0)
+    merge_state(world, MemberState(record, phase.value), now)
     member = world.members.get(record.id)
     if member is not None:
         member.version = max(member.version, version)
--- a/src/figlane/systems/pushing.py
+++ b/src/figlane/systems/pushing.py
@@ -5,13 +5,14 @@
 from typing import Any
 
 from figlane.entities.configuration_messages import (
+    ConfigurationNotice,
     ConfigurationPush,
     ObjectPush,
 )
 from figlane.entities.inbox import ObjectChanged
 from figlane.entities.world import World
 from figlane.systems.node_messages import send_message
-from figlane.systems.rendezvous import live_members
+from figlane.systems.rendezvous import live_ids_by_domain
 
 # Gossip fan-out: number of members to which a node pushes a version that is new
 # to it.
@@ -24,23 +25,37 @@
     :param world: the tables.
     :param row: the new version.
     """
-    members = live_members(world)
-    chosen = world.random.sample(members, min(FANOUT, len(members)))
-    for member in chosen:
-        push_object(
-            world, member.id, row.kind, row.name, row.version, row.entity
-        )
+    for node_id in _random_members(world):
+        push_object(world, node_id, row.kind, row.name, row.version, row.entity)
 
 
-def push_configuration_to_random_members(world: World) -> None:
-    """Push a new whole configuration to ``FANOUT`` random members.
+def announce_configuration(world: World) -> None:
+    """Tell ``FANOUT`` random members the version of the configuration in force.
+
+    Those that lack it request it, so that each node receives it only once.
 
     :param world: the tables.
     """
-    members = live_members(world)
-    chosen = world.random.sample(members, min(FANOUT, len(members)))
-    for member in chosen:
-        push_configuration(world, member.id)
+    notice = ConfigurationNotice(world.ingress.version)
+    for node_id in _random_members(world):
+        send_message(world, node_id, notice)
+
+
+def _random_members(world: World) -> list[str]:
+    # Most of them are in the own failure domain, where bytes cost less; each
+    # failure domain has watchers that learn of changes by themselves.
+    near: list[str] = []
+    far: list[str] = []
+    for domain, ids in live_ids_by_domain(world).items():
+        side = near if domain == world.identity.failure_domain else far
+        side.extend(ids)
+    near_count = min(FANOUT - 1, len(near))
+    far_count = min(FANOUT - near_count, len(far))
+    near_count = min(FANOUT - far_count, len(near))
+    return [
+        *world.random.sample(near, near_count),
+        *world.random.sample(far, far_count),
+    ]
 
 
 def push_configuration(world: World, node_id: str) -> None:
--- a/src/figlane/systems/quota_updates.py
+++ b/src/figlane/systems/quota_updates.py
@@ -28,19 +28,22 @@
 
 
 @object_appliers.register(RIGHT_KIND)
-def apply_right(world: World, row: ObjectChanged) -> None:
+def apply_right(world: World, row: ObjectChanged, now: float) -> bool:
     """Store a new version of a right and schedule its review in this tick.
 
     :param world: the tables.
     :param row: the new version.
+    :param now: the present time in seconds.
+    :return: False, since rights are not pushed to peers.
     """
     right = ensure_right(world, row.name)
     if row.entity is None or row.version <= right.version:
-        return
+        return False
     right.version = row.version
     right.record = row.entity
     right.observed_at = -1
     world.quota.rights.schedule(right, 0)
+    return False
 
 
 @inbox_handlers.register(ObjectRead)
--- a/src/figlane/systems/readiness.py
+++ b/src/figlane/systems/readiness.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 from figlane.entities.node_drain import DRAIN_ID
-from figlane.entities.table import NEVER
 from figlane.entities.world import World
 
-_MEMBER_KIND = 'member'
-
 
 def is_ready(world: World) -> bool:
     """Check whether this node is ready to take calls.
@@ -22,15 +19,12 @@
 
 
 def has_member_list(world: World) -> bool:
-    """Check whether this node has read the member records or has a peer.
+    """Check whether this node has joined the fleet.
 
     Without a member list, nodes that start at the same time would each take
-    the whole of a quota as their own share.
+    themselves for the owner of every quota.
 
     :param world: the tables.
-    :return: whether it has; True also if this node reads no member records
-        from the store.
+    :return: whether it has; True also if this node does not look for contacts.
     """
-    feed = world.kind_feeds.get(_MEMBER_KIND)
-    is_read = feed is None or feed.answered_at != -NEVER
-    return is_read or len(world.members) > 1
+    return world.join.has_joined or not world.join.is_enabled
--- a/src/figlane/systems/registry.py
+++ b/src/figlane/systems/registry.py
@@ -44,6 +44,9 @@
 )
 inbox_handlers: Registry[Handler] = Registry('inbox row handler')
 peer_handlers: Registry[Callable[..., None]] = Registry('peer message handler')
+# Handlers of complete listings that no feed follows; the keyword ``answered``
+# is False if the store did not answer.
+list_handlers: Registry[Callable[..., None]] = Registry('listing handler')
 send_failure_handlers: Registry[Handler] = Registry('send failure handler')
 write_handlers: Registry[Handler] = Registry('write result handler')
 read_handlers: Registry[Handler] = Registry('read result handler')
--- a/src/figlane/systems/rendezvous.py
+++ b/src/figlane/systems/rendezvous.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from figlane.entities.member import Member, MemberPhase
+from figlane.entities.member_index import LiveIndex
 from figlane.entities.world import World
 
 # Nodes per failure domain that watch the platform API for changes.
@@ -37,37 +38,61 @@
     )
 
 
-def live_members(world: World) -> list[Member]:
+def live_members(world: World) -> tuple[Member, ...]:
     """List the other members that are alive or suspect.
 
     :param world: the tables.
     :return: the members.
     """
+    return _live_index(world).members
+
+
+def live_ids_by_domain(world: World) -> dict[str, list[str]]:
+    """Group the other members that are alive or suspect.
+
+    :param world: the tables.
+    :return: their ids by failure domain; a domain without any is missing.
+    """
+    return _live_index(world).ids_by_domain
+
+
+def _live_index(world: World) -> LiveIndex:
+    # Rebuilt only after a change of the members, so that the cost of periodic
+    # work does not grow with the fleet.
+    if world.live_index.revision != world.members.revision:
+        world.live_index = _build_live_index(world)
+    return world.live_index
+
+
+def _build_live_index(world: World) -> LiveIndex:
     own_id = world.identity.node_id
     phases = (MemberPhase.ALIVE, MemberPhase.SUSPECT)
-    return [
+    members = tuple(
         member
         for phase in phases
         for member in world.members.in_phase(phase)
         if member.id != own_id
-    ]
+    )
+    index = LiveIndex(world.members.revision, members)
+    for member in members:
+        ids = index.ids_by_domain.setdefault(member.failure_domain, [])
+        ids.append(member.id)
+    return index
 
 
-def watcher_ids(world: World) -> list[str]:
+def watcher_ids(world: World) -> tuple[str, ...]:
     """Choose the nodes of this failure domain that watch the platform API.
 
     :param world: the tables.
     :return: ids of the chosen nodes, which may include this one.
     """
-    identity = world.identity
-    ids = {
-        member.id
-        for member in live_members(world)
-        if member.failure_domain == identity.failure_domain
-    }
-    ids.add(identity.node_id)
-    purpose = f'watch/{identity.failure_domain}'
-    return choose_members(purpose, ids, WATCHERS_PER_DOMAIN)
+    index = _live_index(world)
+    if not index.watcher_ids:
+        domain = world.identity.failure_domain
+        ids = {world.identity.node_id, *index.ids_by_domain.get(domain, ())}
+        chosen = choose_members(f'watch/{domain}', ids, WATCHERS_PER_DOMAIN)
+        index.watcher_ids = tuple(chosen)
+    return index.watcher_ids
 
 
 def is_watcher(world: World) -> bool:
--- /dev/null
+++ b/src/figlane/systems/watching.py
@@ -0,0 +1,54 @@
+"""Decides which nodes follow the store by themselves."""
+
+from __future__ import annotations
+
+from figlane.entities.kind_feed import KindFeedPhase
+from figlane.entities.world import World
+from figlane.systems.rendezvous import live_ids_by_domain, watcher_ids
+
+# Number of missed answers of peers after which a node asks the store by itself.
+_MAX_MISSES = 2
+
+
+def is_in_charge(world: World) -> bool:
+    """Check whether this node watches the store for its failure domain.
+
+    The first of the domain's watchers does, and the others while it leaves
+    their questions unanswered. In a fleet of a single failure domain all of
+    them do, since no watcher of another domain passes changes on.
+
+    :param world: the tables.
+    :return: whether it does.
+    """
+    watchers = watcher_ids(world)
+    if world.identity.node_id not in watchers:
+        return False
+    first = watchers[0]
+    if first in {
+        world.identity.node_id,
+        world.configuration_exchange.silent_id,
+    }:
+        return True
+    return live_ids_by_domain(world).keys() <= {world.identity.failure_domain}
+
+
+def lacks_answers(world: World) -> bool:
+    """Check whether peers have left the latest questions unanswered.
+
+    :param world: the tables.
+    :return: True if changes that peers know may not reach this node.
+    """
+    return world.configuration_exchange.misses >= _MAX_MISSES
+
+
+def follow_store(world: World, now: float) -> None:
+    """Follow the store from now on, or from the end of the start-up.
+
+    :param world: the tables.
+    :param now: the present time in seconds.
+    """
+    for phase in (KindFeedPhase.UNREAD, KindFeedPhase.READ):
+        for feed in world.kind_feeds.in_phase(phase):
+            world.kind_feeds.schedule(
+                feed, min(feed.due, max(now, feed.alone_at))
+            )
--- a/src/figlane/wire/peer.py
+++ b/src/figlane/wire/peer.py
@@ -30,6 +30,7 @@
         4: messages.CallCancel,
         50: configuration_messages.ObjectPush,
         59: configuration_messages.ConfigurationPush,
+        60: configuration_messages.ConfigurationNotice,
         51: configuration_messages.ConfigurationQuery,
         52: configuration_messages.ConfigurationStatus,
         53: configuration_messages.ObjectRequest,
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -166,6 +166,7 @@
                         'control': control,
                     },
                     'internal_ports': [_ANY_PORT, _ANY_PORT],
+                    'zones': {'a': 'region', 'b': 'region'},
                 },
                 'platform': {
                     'heartbeat': f'{int(_ANNOUNCE_INTERVAL_SECONDS * 1000)}ms',
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -56,7 +56,9 @@
         )
         for name, call, expected in cases:
             with self.subTest(name=name):
-                self.assertEqual(await call, RevisionMismatch(expected))
+                outcome = await call
+                self.assertIsInstance(outcome, RevisionMismatch)
+                self.assertEqual(outcome.revision, expected)
         deleted = await self.client.delete('k', 'a', revision - 1)
         self.assertIsInstance(deleted, RevisionMismatch)
         self.assertIsNone(await self.client.delete('k', 'a', revision))
--- a/tests/systems/test_quota_owner.py
+++ b/tests/systems/test_quota_owner.py
@@ -13,7 +13,6 @@
 from figlane.entities.http import Request
 from figlane.entities.inbox import NodeStarted, PeerMessage
 from figlane.entities.ingress import CallerLimits, ConfigurationReplaced
-from figlane.entities.kind_feed import FollowKinds, KindListed
 from figlane.entities.member import Member, MemberPhase
 from figlane.entities.outbox import AnswerCaller, SendToPeer
 from figlane.entities.quota_messages import (
@@ -76,7 +75,7 @@
         """Start a node.
 
         :param number: the node's number.
-        :param knows_others: False if it has not read the member records yet.
+        :param knows_others: False if it has not joined the fleet yet.
         :return: the node's world.
         """
         world = World(
@@ -88,7 +87,7 @@
         if knows_others:
             self.add_members(number, world)
         else:
-            world.inbox.append(FollowKinds(('member',)))
+            world.join.is_enabled = True
         world.inbox.append(NodeStarted(frozenset(('probe-members',))))
         world.inbox.append(
             ConfigurationReplaced(
@@ -167,6 +166,19 @@
             default=0,
         )
 
+    def call(self, world: World) -> None:
+        """Let a call arrive at a node.
+
+        :param world: the node's world.
+        """
+        self.offered += 1
+        request = Request('GET', '/', ())
+        call = Call(
+            f'c{self.offered}', 's', request, self.now, organisation_id='acme'
+        )
+        call.phase = CallPhase.IDENTIFIED
+        world.calls.insert(call)
+
     def _tick(self) -> None:
         arrived = [
             entry
@@ -214,19 +226,6 @@
             self.refused += 1
             self.refusals[row.outcome.kind] += 1
 
-    def call(self, world: World) -> None:
-        """Let a call arrive at a node.
-
-        :param world: the node's world.
-        """
-        self.offered += 1
-        request = Request('GET', '/', ())
-        call = Call(
-            f'c{self.offered}', 's', request, self.now, organisation_id='acme'
-        )
-        call.phase = CallPhase.IDENTIFIED
-        world.calls.insert(call)
-
 
 class OwnerTest(unittest.TestCase):
     """Fleets of eight nodes under the owner policy."""
@@ -236,8 +235,7 @@
         for load, max_refused in ((0.6, 0.005), (0.9, 0.03)):
             for node_fraction in (1, 0.5, 0.1):
                 with self.subTest(load=load, node_fraction=node_fraction):
-                    fleet = Fleet(8)
-                    fleet.run(2, 0)
+                    fleet = _rested_fleet()
                     # A new bucket starts empty.
                     fleet.run(1.5, load * _ALLOWANCE.rate, node_fraction)
                     fleet.refused = 0
@@ -249,8 +247,7 @@
         """Each window of a surge keeps to the limit, and the rate is used."""
         for node_fraction in (1, 0.1):
             with self.subTest(node_fraction=node_fraction):
-                fleet = Fleet(8)
-                fleet.run(2, 0)
+                fleet = _rested_fleet()
                 fleet.run(4, 0.6 * _ALLOWANCE.rate)
                 fleet.run(15, _SURGE_RATE, node_fraction)
                 self.assertLessEqual(fleet.max_in_window(), _WINDOW_LIMIT)
@@ -258,8 +255,7 @@
 
     def test_partition(self) -> None:
         """Both sides of a partition together keep to the window."""
-        fleet = Fleet(8)
-        fleet.run(2, 0)
+        fleet = _rested_fleet()
         fleet.run(4, 0.6 * _ALLOWANCE.rate)
         fleet.cut = frozenset((0, 1))
         self._declare_dead(fleet)
@@ -268,8 +264,7 @@
 
     def test_restarted_node(self) -> None:
         """Nodes that restart during a surge do not admit another burst."""
-        fleet = Fleet(8)
-        fleet.run(2, 0)
+        fleet = _rested_fleet()
         for number in range(8):
             fleet.run(1, _SURGE_RATE)
             fleet.worlds[number] = fleet.start(number)
@@ -278,8 +273,7 @@
 
     def test_partitioned_node_causes_no_refusals(self) -> None:
         """One partitioned node does not cause refusals at the other nodes."""
-        fleet = Fleet(8)
-        fleet.run(2, 0)
+        fleet = _rested_fleet()
         fleet.run(2, 0.6 * _ALLOWANCE.rate)
         fleet.cut = frozenset((7,))
         fleet.refused = 0
@@ -290,8 +284,7 @@
         """All nodes keep to the window before a partition is detected."""
         for cut in ((0,), (0, 1), (0, 1, 2)):
             with self.subTest(cut=cut):
-                fleet = Fleet(8)
-                fleet.run(2, 0)
+                fleet = _rested_fleet()
                 fleet.run(4, 0.6 * _ALLOWANCE.rate)
                 fleet.cut = frozenset(cut)
                 fleet.run(10, _SURGE_RATE)
@@ -305,8 +298,7 @@
         """
         for delay in (0, 0.05, 0.5):
             with self.subTest(delay=delay):
-                fleet = Fleet(8)
-                fleet.run(2, 0)
+                fleet = _rested_fleet()
                 fleet.run(5, _SURGE_RATE)
                 fleet.worlds = [
                     fleet.start(number, knows_others=False)
@@ -315,8 +307,7 @@
                 fleet.run(delay, _SURGE_RATE)
                 for number, world in enumerate(fleet.worlds):
                     fleet.add_members(number, world)
-                    names = frozenset(world.members.by_id)
-                    world.inbox.append(KindListed('member', 1, 3, names))
+                    world.join.has_joined = True
                 fleet.run(4, _SURGE_RATE)
                 self.assertLessEqual(fleet.max_in_window(), _WINDOW_LIMIT)
 
@@ -333,11 +324,10 @@
 
     def test_moving_callers(self) -> None:
         """A surge that moves between nodes keeps to the limit."""
-        fleet = Fleet(8)
-        fleet.run(2, 0)
+        fleet = _rested_fleet()
         for _ in range(6):
-            fleet.worlds = fleet.worlds[::-1]
-            fleet.numbers = fleet.numbers[::-1]
+            fleet.worlds.reverse()
+            fleet.numbers.reverse()
             fleet.run(1.5, _SURGE_RATE, 0.4)
         self.assertLessEqual(fleet.max_in_window(), _WINDOW_LIMIT)
         self.assertGreater(len(fleet.admitted_at), 9 * _ALLOWANCE.rate)
@@ -346,8 +336,7 @@
         """Each window holds when a node wakes with old sums and old answers."""
         for number in range(8):
             with self.subTest(paused=number):
-                fleet = Fleet(8)
-                fleet.run(2, 0)
+                fleet = _rested_fleet()
                 fleet.run(2, _SURGE_RATE)
                 fleet.paused = frozenset((number,))
                 fleet.run(3, _SURGE_RATE)
@@ -378,8 +367,7 @@
 
         Until all nodes know of a new owner, two nodes take themselves for it.
         """
-        fleet = Fleet(8)
-        fleet.run(2, 0)
+        fleet = _rested_fleet()
         fleet.run(2, _SURGE_RATE)
         for joined in range(8, 14):
             fleet.join(joined)
@@ -391,8 +379,7 @@
 
     def test_leaving_owner(self) -> None:
         """A leaving owner hands the bucket over, whoever knows of it."""
-        fleet = Fleet(8)
-        fleet.run(2, 0)
+        fleet = _rested_fleet()
         fleet.run(4, _SURGE_RATE)
         leaving = owner_of(fleet.worlds[0], 'acme')
         for world in fleet.worlds:
@@ -407,8 +394,7 @@
 
     def test_silent_owner(self) -> None:
         """Calls go on, at a part of the rate, while the owner is silent."""
-        fleet = Fleet(8)
-        fleet.run(2, 0)
+        fleet = _rested_fleet()
         fleet.run(4, 0.2 * _ALLOWANCE.rate)
         owner = int(owner_of(fleet.worlds[0], 'acme')[1:])
         fleet.paused = frozenset((owner,))
@@ -450,3 +436,9 @@
                 other = int(member.id[1:])
                 if (number in fleet.cut) != (other in fleet.cut):
                     world.members.move(member, MemberPhase.DEAD)
+
+
+def _rested_fleet() -> Fleet:
+    fleet = Fleet(8)
+    fleet.run(2, 0)
+    return fleet
--- /dev/null
+++ b/tests/systems/test_watchers.py
@@ -0,0 +1,153 @@
+"""Tests that changes in the store reach all nodes through a few watchers."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass
+
+from figlane.entities.kind_feed import KindFailed
+from figlane.systems.domains import is_taken_out
+from figlane.systems.rendezvous import watcher_ids
+from tests.systems.fleet_model import DOMAIN, FleetModel
+
+_DOMAINS = ('a', 'b', 'c')
+# Time in which a change has to be in force at all nodes, in seconds.
+_APPLY_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class CostAtRest:
+    """Messages and bytes that a node sends in a second."""
+
+    messages: float
+    bytes: float
+
+
+class WatcherTest(unittest.TestCase):
+    """A fleet of 30 nodes in three failure domains that is at rest."""
+
+    def setUp(self) -> None:
+        """Start the fleet and wait until it is at rest."""
+        self.model = FleetModel(_DOMAINS, 30)
+        self.model.run_until(self.model.is_complete, 10)
+        self.model.run(10)
+
+    def test_change_reaches_all(self) -> None:
+        """A change is in force everywhere at a price per watcher."""
+        self.model.reset_counts()
+        self._require_change()
+        # Each of three watchers is answered and watches again.
+        self.assertLessEqual(self.model.price_by_node.total(), 2 * 3)
+
+    def test_price_at_rest(self) -> None:
+        """Only watchers call the store, at intervals of a watch."""
+        self.model.reset_counts()
+        self.model.run(30)
+        callers = self.model.price_by_node
+        self.assertLessEqual(len(callers), 3 + 6)
+        # Watches of 28 s for two kinds, and the contacts' stale reads.
+        self.assertLessEqual(callers.total(), 3 * 2 * 2 + 6 * 0.2)
+
+    def test_nodes_turned_away(self) -> None:
+        """The store turns a third of the nodes away, watchers among them."""
+        for number in range(3):
+            with self.subTest(number=number):
+                self.model.turned_away = {
+                    f'n{index}' for index in range(number, 30, 3)
+                }
+                self.model.run(1)
+                self._require_change()
+
+    def test_paused_watchers(self) -> None:
+        """All watchers of a failure domain are paused."""
+        world = self.model.worlds['n0']
+        self.model.paused = set(watcher_ids(world)) - {'n0'}
+        self._require_change()
+        self.model.paused.clear()
+        self._require_change()
+
+    def test_domain_cut_off(self) -> None:
+        """A failure domain reaches the store and no other domain."""
+        own = {f'n{number}' for number in range(0, 30, 3)}
+        self.model.cut_off(own)
+        self._require_change()
+
+    def test_domain_without_its_watcher(self) -> None:
+        """A failure domain is cut off, and its first watcher does not run."""
+        own = {f'n{number}' for number in range(0, 30, 3)}
+        self.model.cut_off(own)
+        self.model.paused = {watcher_ids(self.model.worlds['n0'])[0]}
+        self._require_change()
+
+    def test_single_domain(self) -> None:
+        """The first watcher of a fleet in one failure domain does not run."""
+        self.model = FleetModel(('a',), 12)
+        self.model.run_until(self.model.is_complete, 10)
+        self.model.run(10)
+        self.model.paused = {watcher_ids(self.model.worlds['n0'])[0]}
+        self._require_change()
+
+    def test_node_cut_off(self) -> None:
+        """A node that reaches the store and no peer asks the store itself."""
+        self.model.cut_off({'n4'})
+        self._require_change()
+        self.model.run(3)
+        self._require_change()
+
+    def test_lost_history(self) -> None:
+        """The store has dropped its history."""
+        for node_id in self.model.worlds:
+            for kind in ('configuration', DOMAIN):
+                row = KindFailed(kind, 'status 410', is_history_lost=True)
+                self.model.in_flight.append((node_id, row))
+        self._require_change()
+
+    def test_evacuation_taken_back(self) -> None:
+        """A deletion that no node has seen is not undone by a peer."""
+        self.model.take_out('a')
+        seconds = self.model.run_until(lambda: self._out_count() == 30, 3)
+        self.assertLessEqual(seconds, _APPLY_SECONDS)
+        # All nodes but one end, and the evacuation ends meanwhile.
+        self.model.paused = {'n5'}
+        self.model.take_out('a', taken_out=False)
+        self.model.is_first_start = False
+        for number in range(30):
+            if number != 5:
+                self.model.start(f'n{number}')
+        self.model.run(3)
+        self.model.paused.clear()
+        self.model.run(4)
+        self.assertEqual(self._out_count(), 0)
+
+    def test_cost_at_rest(self) -> None:
+        """Messages and bytes of a node do not grow with the fleet."""
+        small = _cost_at_rest(10, seconds=30)
+        for count, seconds in ((100, 30), (1000, 5)):
+            with self.subTest(count=count):
+                large = _cost_at_rest(count, seconds)
+                self.assertLessEqual(large.messages, 1.1 * small.messages)
+                self.assertLessEqual(large.bytes, 1.1 * small.bytes)
+
+    def _out_count(self) -> int:
+        return sum(
+            is_taken_out(world, 'a') for world in self.model.worlds.values()
+        )
+
+    def _require_change(self) -> None:
+        version = self.model.configure()
+        seconds = self.model.run_until(
+            lambda: self.model.versions() == {version}, 5
+        )
+        self.assertLessEqual(seconds, _APPLY_SECONDS)
+
+
+def _cost_at_rest(count: int, seconds: float) -> CostAtRest:
+    model = FleetModel(_DOMAINS, count)
+    model.introduce_all()
+    model.run(12)
+    model.reset_counts()
+    model.run(seconds)
+    return CostAtRest(
+        model.sent_by_node.total() / count / seconds,
+        model.bytes_by_node.total() / count / seconds,
+    )
