Give calls, admission, quotas, members, configuration and links a folder each

Cause: systems/ was one folder of 70 modules.

Nothing else changes. Systems run in the same order, but for end_drain, which now follows answer_callers in its stage; both look at the same tables, and a drain ends 0.5 s after the last work that it has seen. The observers of queue and of announcement have changed places; they share no state.

--- a/src/figlane/adapters/http_admin.py
+++ b/src/figlane/adapters/http_admin.py
@@ -18,7 +18,7 @@
 from figlane.entities.world import World
 from figlane.errors import Refusal
 from figlane.settings import Address
-from figlane.systems.configuration import get_feed
+from figlane.systems.configuration.versions import get_feed
 from figlane.wire.checking import CheckError, check, parse_text
 from figlane.wire.documents import Name
 
--- a/src/figlane/composition.py
+++ b/src/figlane/composition.py
@@ -37,7 +37,7 @@
     World,
 )
 from figlane.settings import TelemetrySettings
-from figlane.systems.readiness import is_ready
+from figlane.systems.membership.readiness import is_ready
 from figlane.systems.tick import run_tick
 from figlane.telemetry.telemetry import Telemetry
 
--- a/src/figlane/systems/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -11,10 +11,10 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.cold_start import restart_ramp
-from figlane.systems.concurrency_limit import concurrency_limit
-from figlane.systems.latency import running_backend
-from figlane.systems.membership import publish_own_member
+from figlane.systems.admission.cold_start import restart_ramp
+from figlane.systems.admission.concurrency_limit import concurrency_limit
+from figlane.systems.admission.latency import running_backend
+from figlane.systems.membership.states import publish_own_member
 from figlane.systems.registry import (
     Stage,
     execution_observers,
--- a/src/figlane/systems/cold_start.py
+++ b/src/figlane/systems/admission/cold_start.py
@@ -9,7 +9,7 @@
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.latency import running_backend
+from figlane.systems.admission.latency import running_backend
 from figlane.systems.registry import (
     cold_start_policies,
     execution_observers,
--- a/src/figlane/systems/concurrency_limit.py
+++ b/src/figlane/systems/admission/concurrency_limit.py
@@ -10,7 +10,7 @@
 from figlane.entities.latency import LatencyEstimate, LatencyWindow
 from figlane.entities.world import World
 from figlane.errors import Refusal
-from figlane.systems.latency import (
+from figlane.systems.admission.latency import (
     is_latency_sample,
     latency_estimate,
     own_latency,
--- a/src/figlane/systems/admission.py
+++ b/src/figlane/systems/admission/control.py
@@ -12,12 +12,15 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.cold_rate import next_token_time, take_start_token
-from figlane.systems.cold_start import has_allowed_start
-from figlane.systems.concurrency_limit import concurrency_limit
-from figlane.systems.deadline_check import max_queue_wait, queue_bound
-from figlane.systems.execution import end_execution
-from figlane.systems.queue import (
+from figlane.systems.admission.cold_rate import (
+    next_token_time,
+    take_start_token,
+)
+from figlane.systems.admission.cold_start import has_allowed_start
+from figlane.systems.admission.concurrency_limit import concurrency_limit
+from figlane.systems.admission.deadline_check import max_queue_wait, queue_bound
+from figlane.systems.admission.execution import end_execution
+from figlane.systems.admission.queue import (
     advance_virtual_time,
     dequeue,
     enqueue,
--- a/src/figlane/systems/deadline_check.py
+++ b/src/figlane/systems/admission/deadline_check.py
@@ -9,7 +9,7 @@
 from figlane.entities.flow import Flow, FlowPhase
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.latency import ESTIMATE_LIFETIME_SECONDS
+from figlane.systems.admission.latency import ESTIMATE_LIFETIME_SECONDS
 from figlane.systems.registry import deadline_policies
 
 # Upper bound on queued executions per slot of the concurrency limit.
--- a/src/figlane/systems/execution.py
+++ b/src/figlane/systems/admission/execution.py
@@ -19,16 +19,16 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.ledger import (
+from figlane.systems.admission.ledger import (
     block_attempt,
     ledger_epoch,
     register_attempt,
     retain_execution,
     set_outcome,
 )
-from figlane.systems.lifecycle import cancel_attempt, finish_call
-from figlane.systems.link_rows import get_link
-from figlane.systems.node_messages import send_message
+from figlane.systems.calls.lifecycle import cancel_attempt, finish_call
+from figlane.systems.links.messages import send_message
+from figlane.systems.links.rows import get_link
 from figlane.systems.registry import (
     Stage,
     execution_observers,
--- a/src/figlane/systems/ledger.py
+++ b/src/figlane/systems/admission/ledger.py
@@ -8,7 +8,7 @@
 from figlane.entities.messages import CallRequest
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, ExecutionStatus, Refusal
-from figlane.systems.link_rows import get_link, message_delay
+from figlane.systems.links.rows import get_link, message_delay
 from figlane.systems.tracing import begin_exit_span, end_exit_span
 
 # Time for which an entry is kept after the end or the deadline of its
--- a/src/figlane/systems/refusals.py
+++ b/src/figlane/systems/admission/refusals.py
@@ -13,7 +13,7 @@
 from figlane.entities.http import Answer, StreamedAnswer
 from figlane.entities.world import World
 from figlane.errors import Refusal
-from figlane.systems.latency import running_backend
+from figlane.systems.admission.latency import running_backend
 from figlane.systems.registry import execution_observers
 
 # Minimum weight of the newest call in the moving average. The average thus
--- a/src/figlane/systems/stream_exit.py
+++ b/src/figlane/systems/admission/stream_exit.py
@@ -22,9 +22,9 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.execution import end_execution
-from figlane.systems.ledger import retain_execution
-from figlane.systems.node_messages import send_message
+from figlane.systems.admission.execution import end_execution
+from figlane.systems.admission.ledger import retain_execution
+from figlane.systems.links.messages import send_message
 from figlane.systems.registry import (
     Stage,
     inbox_handlers,
--- a/src/figlane/systems/charging.py
+++ b/src/figlane/systems/calls/charging.py
@@ -6,9 +6,9 @@
 from figlane.entities.world import World
 from figlane.errors import Refusal
 from figlane.registry import RunCondition
-from figlane.systems.lifecycle import finish_call
-from figlane.systems.quota_static import charge_static_share
-from figlane.systems.quota_stock import spend_token
+from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.quotas.static import charge_static_share
+from figlane.systems.quotas.stock import spend_token
 from figlane.systems.registry import Stage, rate_policies, system
 
 
--- a/src/figlane/systems/expiry.py
+++ b/src/figlane/systems/calls/expiry.py
@@ -8,10 +8,10 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.execution import end_execution
-from figlane.systems.handshake import abort_handshake
-from figlane.systems.ledger import remove_expired_execution
-from figlane.systems.lifecycle import cancel_attempt, finish_call
+from figlane.systems.admission.execution import end_execution
+from figlane.systems.admission.ledger import remove_expired_execution
+from figlane.systems.calls.lifecycle import cancel_attempt, finish_call
+from figlane.systems.links.handshake import abort_handshake
 from figlane.systems.registry import Stage, system
 
 
--- a/src/figlane/systems/identification.py
+++ b/src/figlane/systems/calls/identification.py
@@ -9,10 +9,13 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.freshness import configuration_refusal
-from figlane.systems.ingress import choose_destination, select_route
-from figlane.systems.keys import digest_key
-from figlane.systems.lifecycle import finish_call
+from figlane.systems.calls.keys import digest_key
+from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.configuration.freshness import configuration_refusal
+from figlane.systems.configuration.ingress import (
+    choose_destination,
+    select_route,
+)
 from figlane.systems.registry import Stage, inbox_handlers, system
 from figlane.systems.tracing import begin_entry_span
 
--- a/src/figlane/systems/keys.py
+++ b/src/figlane/systems/calls/keys.py
@@ -21,10 +21,10 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.domains import is_taken_out
-from figlane.systems.execution import end_execution
-from figlane.systems.ledger import KEY_RECORD_SECONDS, ledger_epoch
-from figlane.systems.node_messages import send_message
+from figlane.systems.admission.execution import end_execution
+from figlane.systems.admission.ledger import KEY_RECORD_SECONDS, ledger_epoch
+from figlane.systems.links.messages import send_message
+from figlane.systems.membership.domains import is_taken_out
 from figlane.systems.registry import Stage, peer_handlers, system
 
 # Time for which the home node waits for the reply of the witness.
--- a/src/figlane/systems/lifecycle.py
+++ b/src/figlane/systems/calls/lifecycle.py
@@ -13,10 +13,10 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, ExecutionStatus, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.node_messages import send_message
-from figlane.systems.refused_calls import record_refused_call
+from figlane.systems.calls.refused_calls import record_refused_call
+from figlane.systems.calls.retry_hints import with_retry_after
+from figlane.systems.links.messages import send_message
 from figlane.systems.registry import Stage, system
-from figlane.systems.retry_hints import with_retry_after
 from figlane.systems.tracing import end_entry_span
 
 Outcome = Answer | Refusal | StreamedAnswer
--- a/src/figlane/systems/queries.py
+++ b/src/figlane/systems/calls/queries.py
@@ -14,21 +14,21 @@
 from figlane.entities.messages import CallRequest
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.execution import end_execution, send_outcome
-from figlane.systems.ledger import (
+from figlane.systems.admission.execution import end_execution, send_outcome
+from figlane.systems.admission.ledger import (
     attach_attempt,
     block_attempt,
     did_not_run,
     ledger_epoch,
 )
-from figlane.systems.lifecycle import cancel_attempt, current_call
-from figlane.systems.node_messages import send_message
+from figlane.systems.calls.lifecycle import cancel_attempt, current_call
+from figlane.systems.calls.retries import retry_or_finish, return_retries
+from figlane.systems.links.messages import send_message
 from figlane.systems.registry import (
     inbox_handlers,
     peer_handlers,
     send_failure_handlers,
 )
-from figlane.systems.retries import retry_or_finish, return_retries
 
 _MS_PER_SECOND = 1000
 
--- a/src/figlane/systems/replies.py
+++ b/src/figlane/systems/calls/replies.py
@@ -11,13 +11,13 @@
 from figlane.entities.outbox import LogDecision
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal, parse_error_kind
-from figlane.systems.lifecycle import (
+from figlane.systems.calls.lifecycle import (
     cancel_attempt,
     current_call,
     finish_call,
 )
+from figlane.systems.calls.retries import retry_or_finish, return_retries
 from figlane.systems.registry import inbox_handlers, peer_handlers
-from figlane.systems.retries import retry_or_finish, return_retries
 
 # Seconds in log events are rounded to milliseconds.
 _SECONDS_DECIMALS = 3
--- a/src/figlane/systems/retries.py
+++ b/src/figlane/systems/calls/retries.py
@@ -13,7 +13,7 @@
 from figlane.entities.retry_budget import RetryBudget
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, ExecutionStatus, Refusal
-from figlane.systems.lifecycle import finish_call
+from figlane.systems.calls.lifecycle import finish_call
 from figlane.systems.registry import retry_policies
 
 _POSSIBLY_RUN_KINDS = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.INTERNAL))
--- a/src/figlane/systems/routing.py
+++ b/src/figlane/systems/calls/routing.py
@@ -12,15 +12,15 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.handshake import needs_handshake, start_handshake
-from figlane.systems.keys import ranked_nodes
-from figlane.systems.ledger import ledger_epoch
-from figlane.systems.lifecycle import finish_call
-from figlane.systems.links import monitor_call_link
-from figlane.systems.member_index import serving_members
-from figlane.systems.node_messages import send_message
+from figlane.systems.admission.ledger import ledger_epoch
+from figlane.systems.calls.keys import ranked_nodes
+from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.calls.retries import allot_retries, credit_retry_budget
+from figlane.systems.links.handshake import needs_handshake, start_handshake
+from figlane.systems.links.liveness import monitor_call_link
+from figlane.systems.links.messages import send_message
+from figlane.systems.membership.index import serving_members
 from figlane.systems.registry import Stage, routing_policies, system
-from figlane.systems.retries import allot_retries, credit_retry_budget
 
 _MS_PER_SECOND = 1000
 # Bounds of the back-off before a call is sent again to nodes that refused it.
--- a/src/figlane/systems/stream_entry.py
+++ b/src/figlane/systems/calls/stream_entry.py
@@ -22,19 +22,19 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.lifecycle import (
+from figlane.systems.calls.lifecycle import (
     cancel_attempt,
     current_call,
     finish_call,
 )
-from figlane.systems.node_messages import send_message
+from figlane.systems.calls.retries import return_retries
+from figlane.systems.links.messages import send_message
 from figlane.systems.registry import (
     Stage,
     inbox_handlers,
     peer_handlers,
     system,
 )
-from figlane.systems.retries import return_retries
 
 StreamMessage = StreamHead | StreamChunk | StreamEnd | StreamCut
 
--- a/src/figlane/systems/configuration_exchange.py
+++ b/src/figlane/systems/configuration/exchange.py
@@ -21,17 +21,27 @@
 from figlane.entities.member import Member
 from figlane.entities.service import ConfigurationPhase
 from figlane.entities.world import World
-from figlane.systems.configuration import configuration_tables, get_feed
-from figlane.systems.node_messages import send_message
-from figlane.systems.pushing import push_configuration, push_object
-from figlane.systems.registry import peer_handlers, routines
-from figlane.systems.rendezvous import (
+from figlane.systems.configuration.pushing import (
+    push_configuration,
+    push_object,
+)
+from figlane.systems.configuration.versions import (
+    configuration_tables,
+    get_feed,
+)
+from figlane.systems.configuration.watching import (
+    follow_store,
+    is_in_charge,
+    lacks_answers,
+)
+from figlane.systems.links.messages import send_message
+from figlane.systems.membership.rendezvous import (
     live_ids_by_domain,
     live_members,
     watcher_ids,
 )
+from figlane.systems.registry import peer_handlers, routines
 from figlane.systems.scheduling import jittered
-from figlane.systems.watching import follow_store, is_in_charge, lacks_answers
 
 ROUTINE = 'compare-configuration'
 
--- a/src/figlane/systems/feed.py
+++ b/src/figlane/systems/configuration/feed.py
@@ -12,9 +12,12 @@
 )
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
-from figlane.systems.configuration import delete_unlisted_objects, get_feed
+from figlane.systems.configuration.versions import (
+    delete_unlisted_objects,
+    get_feed,
+)
+from figlane.systems.membership.rendezvous import is_watcher
 from figlane.systems.registry import inbox_handlers, routines
-from figlane.systems.rendezvous import is_watcher
 from figlane.systems.scheduling import bring_forward, jittered
 
 FOLLOW_ROUTINE = 'follow-platform'
--- a/src/figlane/systems/freshness.py
+++ b/src/figlane/systems/configuration/freshness.py
@@ -6,8 +6,8 @@
 from figlane.entities.service import ConfigurationPhase
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.configuration import get_feed
-from figlane.systems.feed import FOLLOW_ROUTINE
+from figlane.systems.configuration.feed import FOLLOW_ROUTINE
+from figlane.systems.configuration.versions import get_feed
 from figlane.systems.registry import outage_policies
 
 # Age of the configuration up to which keyed calls run; above it, the outage
--- a/src/figlane/systems/ingress.py
+++ b/src/figlane/systems/configuration/ingress.py
@@ -16,7 +16,7 @@
 from figlane.entities.outbox import LogDecision
 from figlane.entities.table import Table
 from figlane.entities.world import World
-from figlane.systems.pushing import announce_configuration
+from figlane.systems.configuration.pushing import announce_configuration
 from figlane.systems.registry import (
     configuration_observers,
     inbox_handlers,
--- a/src/figlane/systems/kind_feeds.py
+++ b/src/figlane/systems/configuration/kind_feeds.py
@@ -23,12 +23,13 @@
 from figlane.entities.service import ConfigurationPhase
 from figlane.entities.world import World
 from figlane.registry import RunCondition
-from figlane.systems.configuration import (
+from figlane.systems.configuration.versions import (
     configuration_tables,
     get_feed,
     object_appliers,
 )
-from figlane.systems.readiness import has_member_list
+from figlane.systems.configuration.watching import is_in_charge, lacks_answers
+from figlane.systems.membership.readiness import has_member_list
 from figlane.systems.registry import (
     Stage,
     inbox_handlers,
@@ -36,7 +37,6 @@
     system,
 )
 from figlane.systems.scheduling import jittered
-from figlane.systems.watching import is_in_charge, lacks_answers
 
 # Longest wait of one watch; the platform allows 30 s. Peers push changes and
 # compare versions each second, so a long watch delays nothing.
--- a/src/figlane/systems/pushing.py
+++ b/src/figlane/systems/configuration/pushing.py
@@ -11,8 +11,8 @@
 )
 from figlane.entities.inbox import ObjectChanged
 from figlane.entities.world import World
-from figlane.systems.node_messages import send_message
-from figlane.systems.rendezvous import live_ids_by_domain
+from figlane.systems.links.messages import send_message
+from figlane.systems.membership.rendezvous import live_ids_by_domain
 
 # Gossip fan-out: number of members to which a node pushes a version that is new
 # to it.
--- a/src/figlane/systems/configuration.py
+++ b/src/figlane/systems/configuration/versions.py
@@ -15,9 +15,12 @@
 )
 from figlane.entities.table import Table
 from figlane.entities.world import World
-from figlane.systems.domains import is_taken_out, start_weight_ramp
-from figlane.systems.membership import handle_record_deleted, merge_record
-from figlane.systems.pushing import push_to_random_members
+from figlane.systems.configuration.pushing import push_to_random_members
+from figlane.systems.membership.domains import is_taken_out, start_weight_ramp
+from figlane.systems.membership.states import (
+    handle_record_deleted,
+    merge_record,
+)
 from figlane.systems.registry import Registry, inbox_handlers
 
 ObjectApplier = Callable[[World, ObjectChanged, float], bool]
--- a/src/figlane/systems/watching.py
+++ b/src/figlane/systems/configuration/watching.py
@@ -4,7 +4,10 @@
 
 from figlane.entities.kind_feed import KindFeedPhase
 from figlane.entities.world import World
-from figlane.systems.rendezvous import live_ids_by_domain, watcher_ids
+from figlane.systems.membership.rendezvous import (
+    live_ids_by_domain,
+    watcher_ids,
+)
 
 # Number of missed answers of peers after which a node asks the store by itself.
 _MAX_MISSES = 2
--- /dev/null
+++ b/src/figlane/systems/links/__init__.py
@@ -0,0 +1,3 @@
+"""Links between nodes: handshakes, liveness and messages."""
+
+from __future__ import annotations
--- a/src/figlane/systems/handshake.py
+++ b/src/figlane/systems/links/handshake.py
@@ -7,9 +7,9 @@
 from figlane.entities.link_messages import Ping
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.ledger import ledger_epoch
-from figlane.systems.link_rows import get_link
-from figlane.systems.node_messages import send_message
+from figlane.systems.admission.ledger import ledger_epoch
+from figlane.systems.links.messages import send_message
+from figlane.systems.links.rows import get_link
 
 # Time for which a call waits for the epoch of the selected node.
 HANDSHAKE_TIMEOUT_SECONDS = 0.5
--- a/src/figlane/systems/links.py
+++ b/src/figlane/systems/links/liveness.py
@@ -15,11 +15,11 @@
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.registry import RunCondition
-from figlane.systems.handshake import complete_handshakes, send_ping
-from figlane.systems.ledger import ledger_epoch
-from figlane.systems.link_rows import get_link, message_delay
-from figlane.systems.node_messages import send_message
-from figlane.systems.queries import give_up_attempt, query_attempt
+from figlane.systems.admission.ledger import ledger_epoch
+from figlane.systems.calls.queries import give_up_attempt, query_attempt
+from figlane.systems.links.handshake import complete_handshakes, send_ping
+from figlane.systems.links.messages import send_message
+from figlane.systems.links.rows import get_link, message_delay
 from figlane.systems.registry import Stage, peer_handlers, system
 
 # Time between two pings on a link with open calls.
--- a/src/figlane/systems/node_messages.py
+++ b/src/figlane/systems/links/messages.py
@@ -7,7 +7,7 @@
 from figlane.entities.inbox import PeerMessage
 from figlane.entities.outbox import SendToPeer
 from figlane.entities.world import World
-from figlane.systems.link_rows import mark_link_used
+from figlane.systems.links.rows import mark_link_used
 
 
 def send_message(
--- /dev/null
+++ b/src/figlane/systems/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Members: how nodes join, detect failures, leave, and are selected."""
+
+from __future__ import annotations
--- a/src/figlane/systems/contacts.py
+++ b/src/figlane/systems/membership/contacts.py
@@ -23,16 +23,16 @@
 from figlane.entities.outbox import WriteObject
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
-from figlane.systems.configuration import object_appliers
-from figlane.systems.member_lists import ask_for_members
-from figlane.systems.membership import merge_state, own_member, record_of
+from figlane.systems.configuration.versions import object_appliers
+from figlane.systems.membership.lists import ask_for_members
+from figlane.systems.membership.rendezvous import choose_members
+from figlane.systems.membership.states import merge_state, own_member, record_of
 from figlane.systems.registry import (
     inbox_handlers,
     list_handlers,
     routines,
     write_handlers,
 )
-from figlane.systems.rendezvous import choose_members
 from figlane.systems.scheduling import bring_forward, jittered
 
 ROUTINE = 'find-contacts'
--- a/src/figlane/systems/domains.py
+++ b/src/figlane/systems/membership/domains.py
@@ -7,7 +7,7 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.execution import end_execution
+from figlane.systems.admission.execution import end_execution
 from figlane.systems.registry import Stage, routines, system
 from figlane.systems.scheduling import bring_forward
 
--- a/src/figlane/systems/member_index.py
+++ b/src/figlane/systems/membership/index.py
@@ -5,7 +5,7 @@
 from figlane.entities.member import Member, MemberPhase
 from figlane.entities.member_index import MemberIndex
 from figlane.entities.world import World
-from figlane.systems.domains import is_taken_out
+from figlane.systems.membership.domains import is_taken_out
 
 
 def serving_members(world: World, service_id: str) -> list[Member]:
--- a/src/figlane/systems/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -18,17 +18,21 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.execution import end_execution
-from figlane.systems.lifecycle import finish_call
-from figlane.systems.membership import own_member, publish_own_member, record_of
-from figlane.systems.node_messages import send_message
+from figlane.systems.admission.execution import end_execution
+from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.links.messages import send_message
+from figlane.systems.membership.rendezvous import live_members
+from figlane.systems.membership.states import (
+    own_member,
+    publish_own_member,
+    record_of,
+)
 from figlane.systems.registry import (
     Stage,
     inbox_handlers,
     leaving_hooks,
     system,
 )
-from figlane.systems.rendezvous import live_members
 
 # Time for which a leaving node still accepts root calls as entry node.
 ENTRY_GRACE_SECONDS = 2.0
--- a/src/figlane/systems/member_lists.py
+++ b/src/figlane/systems/membership/lists.py
@@ -17,10 +17,10 @@
 from figlane.entities.inbox import PeerMessage
 from figlane.entities.member import Member, MemberPhase
 from figlane.entities.world import World
-from figlane.systems.membership import merge_state, own_member, record_of
-from figlane.systems.node_messages import send_message
+from figlane.systems.links.messages import send_message
+from figlane.systems.membership.rendezvous import live_members
+from figlane.systems.membership.states import merge_state, own_member, record_of
 from figlane.systems.registry import peer_handlers, routines
-from figlane.systems.rendezvous import live_members
 from figlane.systems.scheduling import bring_forward, jittered
 
 # Mean time between two exchanges, and between attempts while no peer is known.
--- a/src/figlane/systems/member_objects.py
+++ b/src/figlane/systems/membership/objects.py
@@ -7,14 +7,14 @@
 from figlane.entities.outbox import WriteObject
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
-from figlane.systems.membership import (
+from figlane.systems.membership.rendezvous import choose_members, live_members
+from figlane.systems.membership.states import (
     DEAD_RETENTION_SECONDS,
     WRITE_MEMBER_ROUTINE,
     own_member,
     record_of,
 )
 from figlane.systems.registry import inbox_handlers, routines, write_handlers
-from figlane.systems.rendezvous import choose_members, live_members
 from figlane.systems.scheduling import bring_forward, jittered
 
 # Request id of writes of this node's own member object.
--- a/src/figlane/systems/probing.py
+++ b/src/figlane/systems/membership/probing.py
@@ -21,8 +21,9 @@
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.registry import RunCondition
-from figlane.systems.member_objects import remove_member_object
-from figlane.systems.membership import (
+from figlane.systems.membership.objects import remove_member_object
+from figlane.systems.membership.rendezvous import live_members
+from figlane.systems.membership.states import (
     SUSPICION_TIMEOUT_SECONDS,
     merge_state,
     own_member,
@@ -35,7 +36,6 @@
     routines,
     system,
 )
-from figlane.systems.rendezvous import live_members
 
 # Protocol period: time between two probes sent by a node.
 PROTOCOL_PERIOD_SECONDS = 1.0
--- a/src/figlane/systems/quota_assignment.py
+++ b/src/figlane/systems/quotas/assignment.py
@@ -6,9 +6,9 @@
 from figlane.entities.right import ReleaseRights, RightPhase
 from figlane.entities.service import Allowance, ConfigurationPhase
 from figlane.entities.world import World
-from figlane.systems.quota_minting import refill_bucket, refill_buckets
-from figlane.systems.quota_rights import ensure_right
-from figlane.systems.quota_shares import (
+from figlane.systems.quotas.minting import refill_bucket, refill_buckets
+from figlane.systems.quotas.rights import ensure_right
+from figlane.systems.quotas.shares import (
     MINTING_POLICIES,
     choose_preferred_holders,
     eligible_members,
--- a/src/figlane/systems/quota_buckets.py
+++ b/src/figlane/systems/quotas/buckets.py
@@ -7,8 +7,8 @@
 from figlane.entities.service import Allowance
 from figlane.entities.table import NEVER
 from figlane.entities.world import QuotaBounds, World
-from figlane.systems.membership import own_member
-from figlane.systems.quota_requesters import has_silent_requester, is_silent
+from figlane.systems.membership.states import own_member
+from figlane.systems.quotas.requesters import has_silent_requester, is_silent
 
 # Fraction of overage and slack that is used as the bucket's burst.
 _BURST_FRACTION = 0.3
--- a/src/figlane/systems/quota_charges.py
+++ b/src/figlane/systems/quotas/charges.py
@@ -23,11 +23,11 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.lifecycle import finish_call
-from figlane.systems.node_messages import send_message
-from figlane.systems.quota_buckets import sustained_allowance
-from figlane.systems.quota_ring import owner_of, ring_members
-from figlane.systems.readiness import has_member_list
+from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.links.messages import send_message
+from figlane.systems.membership.readiness import has_member_list
+from figlane.systems.quotas.buckets import sustained_allowance
+from figlane.systems.quotas.ring import owner_of, ring_members
 from figlane.systems.registry import (
     Stage,
     peer_handlers,
--- a/src/figlane/systems/quota_minting.py
+++ b/src/figlane/systems/quotas/minting.py
@@ -15,8 +15,8 @@
 from figlane.entities.right import KnownHolder, Right, RightPhase
 from figlane.entities.service import Allowance
 from figlane.entities.world import World
-from figlane.systems.node_messages import send_message
-from figlane.systems.quota_shares import (
+from figlane.systems.links.messages import send_message
+from figlane.systems.quotas.shares import (
     find_allowance,
     quota_id,
     rights_of_quota,
--- a/src/figlane/systems/quota_owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -21,8 +21,8 @@
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.registry import RunCondition
-from figlane.systems.node_messages import send_message
-from figlane.systems.quota_buckets import (
+from figlane.systems.links.messages import send_message
+from figlane.systems.quotas.buckets import (
     allowance_of,
     find_bucket,
     refill,
@@ -30,8 +30,8 @@
     seconds_to_next_token,
     whole_tokens,
 )
-from figlane.systems.quota_requesters import record_requester
-from figlane.systems.quota_ring import owner_of, previous_owner_of
+from figlane.systems.quotas.requesters import record_requester
+from figlane.systems.quotas.ring import owner_of, previous_owner_of
 from figlane.systems.registry import Stage, peer_handlers, system
 
 # Time without an answer after which the previous owner counts as gone.
--- a/src/figlane/systems/quota_records.py
+++ b/src/figlane/systems/quotas/records.py
@@ -6,7 +6,7 @@
 
 from figlane.entities.right import FormerHolder, Right, RightRecord
 from figlane.entities.world import World
-from figlane.systems.quota_minting import (
+from figlane.systems.quotas.minting import (
     CLOCK_MARGIN_FACTOR,
     LEASE_SECONDS,
     MAX_UNRENEWED_SECONDS,
--- a/src/figlane/systems/quota_requests.py
+++ b/src/figlane/systems/quotas/requests.py
@@ -10,9 +10,9 @@
 from figlane.entities.service import Allowance
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
-from figlane.systems.node_messages import send_message
-from figlane.systems.quota_minting import MAX_TOKEN_LIFETIME_SECONDS
-from figlane.systems.quota_shares import rights_of_quota
+from figlane.systems.links.messages import send_message
+from figlane.systems.quotas.minting import MAX_TOKEN_LIFETIME_SECONDS
+from figlane.systems.quotas.shares import rights_of_quota
 
 # Time after which a request for tokens times out.
 _REQUEST_TIMEOUT_SECONDS = 0.1
--- a/src/figlane/systems/quota_rights.py
+++ b/src/figlane/systems/quotas/rights.py
@@ -11,14 +11,14 @@
 from figlane.entities.right import KnownHolder, Right, RightPhase, RightRecord
 from figlane.entities.world import World
 from figlane.registry import RunCondition
-from figlane.systems.node_messages import send_message
-from figlane.systems.quota_minting import (
+from figlane.systems.links.messages import send_message
+from figlane.systems.quotas.minting import (
     CLOCK_MARGIN_FACTOR,
     LEASE_SECONDS,
     MAX_TOKEN_LIFETIME_SECONDS,
     refill_buckets,
 )
-from figlane.systems.quota_records import (
+from figlane.systems.quotas.records import (
     can_take,
     is_former_holder,
     record_without_self,
@@ -27,7 +27,7 @@
     takeover_record,
     track_former_holders,
 )
-from figlane.systems.quota_shares import update_known_holder
+from figlane.systems.quotas.shares import update_known_holder
 from figlane.systems.registry import Stage, system
 
 RIGHT_KIND = 'right'
--- a/src/figlane/systems/quota_static.py
+++ b/src/figlane/systems/quotas/static.py
@@ -6,7 +6,7 @@
 from figlane.entities.quota import Bucket
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.quota_shares import (
+from figlane.systems.quotas.shares import (
     eligible_members,
     find_allowance,
     quota_id,
--- a/src/figlane/systems/quota_stock.py
+++ b/src/figlane/systems/quotas/stock.py
@@ -13,13 +13,13 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.lifecycle import finish_call
-from figlane.systems.quota_requests import (
+from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.quotas.requests import (
     expire_requests,
     next_request_timeout,
     request_tokens,
 )
-from figlane.systems.quota_shares import (
+from figlane.systems.quotas.shares import (
     find_allowance,
     quota_id,
     update_known_holder,
--- a/src/figlane/systems/quota_updates.py
+++ b/src/figlane/systems/quotas/updates.py
@@ -12,8 +12,8 @@
 from figlane.entities.quota_messages import RightReleased, RightRequest
 from figlane.entities.right import Right, RightPhase
 from figlane.entities.world import World
-from figlane.systems.configuration import object_appliers
-from figlane.systems.quota_rights import (
+from figlane.systems.configuration.versions import object_appliers
+from figlane.systems.quotas.rights import (
     RIGHT_KIND,
     apply_right_version,
     ensure_right,
--- a/src/figlane/systems/routines.py
+++ b/src/figlane/systems/routines.py
@@ -6,7 +6,7 @@
 from figlane.entities.routine import Routine
 from figlane.entities.world import World
 from figlane.registry import RunCondition
-from figlane.systems.membership import publish_own_member
+from figlane.systems.membership.states import publish_own_member
 from figlane.systems.registry import (
     Stage,
     inbox_handlers,
--- a/src/figlane/systems/tick.py
+++ b/src/figlane/systems/tick.py
@@ -20,8 +20,9 @@
 
 def load_systems() -> None:
     """Import every module of systems, so that their decorators run."""
-    for module in pkgutil.iter_modules(systems.__path__):
-        importlib.import_module(f'{systems.__name__}.{module.name}')
+    prefix = f'{systems.__name__}.'
+    for module in pkgutil.walk_packages(systems.__path__, prefix):
+        importlib.import_module(module.name)
 
 
 load_systems()
--- a/tests/systems/test_announcement.py
+++ b/tests/systems/admission/test_announcement.py
@@ -13,9 +13,9 @@
 from figlane.entities.outbox import CheckBackend, WriteObject
 from figlane.entities.service import Service
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.announcement import ANNOUNCEMENT_TIMEOUT_SECONDS
-from figlane.systems.concurrency_limit import concurrency_limit
-from figlane.systems.membership import own_member
+from figlane.systems.admission.announcement import ANNOUNCEMENT_TIMEOUT_SECONDS
+from figlane.systems.admission.concurrency_limit import concurrency_limit
+from figlane.systems.membership.states import own_member
 from tests.systems.exit_node import BACKEND, SERVICE, ExitNode
 
 _INTERVAL_SECONDS = 0.5
--- a/tests/systems/test_cold_rate.py
+++ b/tests/systems/admission/test_cold_rate.py
@@ -12,8 +12,11 @@
 from figlane.entities.inbox import BackendAnnounced
 from figlane.entities.service import FailureDomain, Service
 from figlane.entities.world import Identity, World
-from figlane.systems.cold_rate import next_token_time, take_start_token
-from figlane.systems.domains import start_weight_ramp
+from figlane.systems.admission.cold_rate import (
+    next_token_time,
+    take_start_token,
+)
+from figlane.systems.membership.domains import start_weight_ramp
 from figlane.systems.tick import run_tick
 
 _RATE = 30.0
--- a/tests/systems/test_cold_start.py
+++ b/tests/systems/admission/test_cold_start.py
@@ -12,7 +12,7 @@
 from figlane.entities.ramp import Ramp
 from figlane.entities.world import Policies
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.concurrency_limit import concurrency_limit
+from figlane.systems.admission.concurrency_limit import concurrency_limit
 from tests.systems.exit_node import BACKEND, ExitNode
 from tests.systems.simulation import Simulation
 
--- a/tests/systems/test_concurrency_limit.py
+++ b/tests/systems/admission/test_concurrency_limit.py
@@ -7,7 +7,7 @@
 
 from figlane.entities.execution import Execution
 from figlane.entities.world import Policies
-from figlane.systems.concurrency_limit import (
+from figlane.systems.admission.concurrency_limit import (
     aimd_limit,
     concurrency_limit,
     gradient_limit,
--- a/tests/systems/test_deadline_check.py
+++ b/tests/systems/admission/test_deadline_check.py
@@ -11,7 +11,7 @@
 from figlane.entities.http import Request
 from figlane.entities.world import Policies
 from figlane.errors import ErrorKind
-from figlane.systems.latency import own_latency
+from figlane.systems.admission.latency import own_latency
 from tests.systems.exit_node import SERVICE, ExitNode
 
 _LATENCY = 0.1
--- a/tests/systems/test_ledger.py
+++ b/tests/systems/admission/test_ledger.py
@@ -7,7 +7,7 @@
 from figlane.entities.http import Answer
 from figlane.entities.inbox import BackendFinished
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.ledger import MAX_KEPT_BYTES, RECORD_SECONDS
+from figlane.systems.admission.ledger import MAX_KEPT_BYTES, RECORD_SECONDS
 from tests.simulated_network import DEADLINE, Run, SimulatedNetwork
 
 _ANSWER_BYTES = 1_048_576
--- a/tests/systems/test_refusals.py
+++ b/tests/systems/admission/test_refusals.py
@@ -12,8 +12,8 @@
 from figlane.entities.member import Member
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.refusals import observe_refusals
-from figlane.systems.routing import choose_of_two
+from figlane.systems.admission.refusals import observe_refusals
+from figlane.systems.calls.routing import choose_of_two
 
 _REQUEST = Request('GET', '/', ())
 _CALLS_PER_SECOND = 100
--- a/tests/systems/test_keys.py
+++ b/tests/systems/calls/test_keys.py
@@ -6,7 +6,7 @@
 
 from figlane.entities.http import Answer
 from figlane.errors import ErrorKind
-from figlane.systems.keys import ranked_nodes
+from figlane.systems.calls.keys import ranked_nodes
 from tests.simulated_network import DEADLINE, SimulatedNetwork
 
 _KEY = 'charge-1'
--- a/tests/systems/test_refused_calls.py
+++ b/tests/systems/calls/test_refused_calls.py
@@ -12,7 +12,7 @@
 from figlane.entities.http import Request
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.refused_calls import (
+from figlane.systems.calls.refused_calls import (
     MAX_ROWS_PER_KIND,
     RETENTION_SECONDS,
     evict_refused_calls,
--- a/tests/systems/test_retries.py
+++ b/tests/systems/calls/test_retries.py
@@ -24,9 +24,9 @@
 from figlane.entities.messages import CallRequest
 from figlane.entities.world import Identity, Policies, RetryBounds, World
 from figlane.errors import ErrorKind
-from figlane.systems.identification import MAX_CALL_DEPTH
-from figlane.systems.links import PING_INTERVAL_SECONDS
-from figlane.systems.retries import allow_by_ratio, credit_retry_budget
+from figlane.systems.calls.identification import MAX_CALL_DEPTH
+from figlane.systems.calls.retries import allow_by_ratio, credit_retry_budget
+from figlane.systems.links.liveness import PING_INTERVAL_SECONDS
 from tests.simulated_network import (
     ATTEMPTS,
     DEADLINE,
--- a/tests/systems/test_retry_hints.py
+++ b/tests/systems/calls/test_retry_hints.py
@@ -10,7 +10,7 @@
 from figlane.entities.http import Request
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.retry_hints import with_retry_after
+from figlane.systems.calls.retry_hints import with_retry_after
 
 
 class RetryAfterTest(unittest.TestCase):
--- /dev/null
+++ b/tests/systems/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the systems in configuration."""
+
+from __future__ import annotations
--- a/tests/systems/test_ingress.py
+++ b/tests/systems/configuration/test_ingress.py
@@ -23,7 +23,10 @@
 from figlane.entities.service import Organisation, Route, Service
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind
-from figlane.systems.ingress import choose_destination, select_route
+from figlane.systems.configuration.ingress import (
+    choose_destination,
+    select_route,
+)
 from figlane.systems.tick import run_tick
 
 _PROPERTIES = Route('r', (), (), 50, True, True, 1.0, 0, 2)
--- a/tests/systems/test_kind_feeds.py
+++ b/tests/systems/configuration/test_kind_feeds.py
@@ -17,7 +17,7 @@
 )
 from figlane.entities.service import FailureDomain
 from figlane.entities.world import Identity, World
-from figlane.systems.domains import is_taken_out
+from figlane.systems.membership.domains import is_taken_out
 from figlane.systems.tick import run_tick
 
 _MAX_BACKOFF_SECONDS = 1.5
--- a/tests/systems/test_watchers.py
+++ b/tests/systems/configuration/test_watching.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from figlane.entities.kind_feed import KindFailed
-from figlane.systems.domains import is_taken_out
-from figlane.systems.rendezvous import watcher_ids
+from figlane.systems.membership.domains import is_taken_out
+from figlane.systems.membership.rendezvous import watcher_ids
 from tests.systems.fleet_model import DOMAIN, FleetModel
 
 _DOMAINS = ('a', 'b', 'c')
--- a/tests/systems/exit_node.py
+++ b/tests/systems/exit_node.py
@@ -16,7 +16,7 @@
 from figlane.entities.service import Allowance, Service
 from figlane.entities.world import Identity, Policies, World
 from figlane.errors import Refusal
-from figlane.systems.ledger import ledger_epoch
+from figlane.systems.admission.ledger import ledger_epoch
 from figlane.systems.tick import run_tick
 
 SERVICE = 'rotations'
--- a/tests/systems/fleet_model.py
+++ b/tests/systems/fleet_model.py
@@ -29,7 +29,7 @@
 from figlane.entities.outbox import SendToPeer, WriteObject
 from figlane.entities.service import FailureDomain
 from figlane.entities.world import Identity, Policies, World
-from figlane.systems.readiness import is_ready
+from figlane.systems.membership.readiness import is_ready
 from figlane.systems.tick import run_tick
 from figlane.wire.peer import encode
 
--- /dev/null
+++ b/tests/systems/links/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the systems in links."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/systems/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the systems in membership."""
+
+from __future__ import annotations
--- a/tests/systems/test_domains.py
+++ b/tests/systems/membership/test_domains.py
@@ -14,7 +14,11 @@
 from figlane.entities.table import NEVER
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind
-from figlane.systems.domains import INITIAL_WEIGHT, RAMP_ROUTINE, RAMP_SECONDS
+from figlane.systems.membership.domains import (
+    INITIAL_WEIGHT,
+    RAMP_ROUTINE,
+    RAMP_SECONDS,
+)
 from figlane.systems.tick import run_tick
 
 
--- a/tests/systems/test_member_index.py
+++ b/tests/systems/membership/test_index.py
@@ -11,8 +11,8 @@
 from figlane.entities.member import Member, MemberPhase
 from figlane.entities.service import FailureDomain
 from figlane.entities.world import Identity, World
-from figlane.systems.domains import is_taken_out
-from figlane.systems.member_index import serving_members
+from figlane.systems.membership.domains import is_taken_out
+from figlane.systems.membership.index import serving_members
 
 _CHANGES = st.tuples(
     st.sampled_from(('insert', 'remove', 'move', 'take-out', 'take-back')),
--- a/tests/systems/quota_harness.py
+++ b/tests/systems/quota_harness.py
@@ -9,7 +9,7 @@
 from figlane.entities.member import MemberPhase
 from figlane.entities.right import ReleaseRights
 from figlane.entities.service import Allowance
-from figlane.systems.quota_minting import MAX_CLOCK_RATE_ERROR
+from figlane.systems.quotas.minting import MAX_CLOCK_RATE_ERROR
 from standins.quota_fleet import QuotaFleet, SimulatedNode, excess
 from standins.quota_store import MemoryStore
 
--- /dev/null
+++ b/tests/systems/quotas/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the systems in quotas."""
+
+from __future__ import annotations
--- a/tests/systems/test_quota_faults.py
+++ b/tests/systems/quotas/test_faults.py
@@ -16,7 +16,7 @@
 from figlane.entities.right import Right, RightPhase, RightRecord
 from figlane.entities.service import Allowance
 from figlane.entities.world import World
-from figlane.systems import quota_minting, quota_records, quota_rights
+from figlane.systems.quotas import minting, records, rights
 from figlane.systems.registry import peer_handlers, write_handlers
 from standins.quota_fleet import Faults
 from tests.systems.quota_harness import QuotaHarness
@@ -83,7 +83,7 @@
     world: World, right: Right, now: float
 ) -> RightRecord:
     return replace(
-        quota_records.renewal_record(world, right, now),
+        records.renewal_record(world, right, now),
         orphans=(),
     )
 
@@ -121,7 +121,7 @@
         self._compare(
             _pause_entry_nodes,
             mock.patch(
-                'figlane.systems.quota_stock.drop_expired',
+                'figlane.systems.quotas.stock.drop_expired',
                 lambda stock, now: None,
             ),
         )
@@ -129,21 +129,21 @@
     def test_unrenewed_holder_mints_less(self) -> None:
         """A holder that cannot renew mints less after its lease has expired."""
         patch = mock.patch.object(
-            quota_minting, 'minting_share', _share_without_expiry
+            minting, 'minting_share', _share_without_expiry
         )
         self._compare(_cut_holder, patch)
 
     def test_paused_holder_mints_less(self) -> None:
         """A holder that was paused beyond its lease mints less."""
         patch = mock.patch.object(
-            quota_minting, 'minting_share', _share_without_expiry
+            minting, 'minting_share', _share_without_expiry
         )
         self._compare(_pause_holder, patch)
 
     def test_new_holder_leaves_former_holder_share(self) -> None:
         """A new holder does not mint what a former holder may still mint."""
         patch = mock.patch.object(
-            quota_rights, 'takeover_record', _record_without_former_holders
+            rights, 'takeover_record', _record_without_former_holders
         )
         self._compare(_cut_holder, patch)
 
--- a/tests/systems/test_quota_owner.py
+++ b/tests/systems/quotas/test_owner.py
@@ -24,8 +24,8 @@
 from figlane.entities.service import Allowance, Organisation
 from figlane.entities.world import Identity, Policies, QuotaBounds, World
 from figlane.errors import ErrorKind
-from figlane.systems.membership import own_member
-from figlane.systems.quota_ring import owner_of, ring_members
+from figlane.systems.membership.states import own_member
+from figlane.systems.quotas.ring import owner_of, ring_members
 from figlane.systems.tick import run_tick
 
 _ALLOWANCE = Allowance(60, 60, 1)
--- a/tests/systems/test_quota_shares.py
+++ b/tests/systems/quotas/test_shares.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from figlane.systems.quota_shares import RIGHT_IDS, choose_preferred_holders
+from figlane.systems.quotas.shares import RIGHT_IDS, choose_preferred_holders
 
 _MEMBERS = st.sets(st.sampled_from([f'node-{index}' for index in range(9)]))
 
--- a/tests/systems/test_imports.py
+++ b/tests/systems/test_imports.py
@@ -41,7 +41,7 @@
 
     def test_check_finds_modules_and_violations(self) -> None:
         """The check finds the modules of systems and detects a violation."""
-        paths = list((_PACKAGE / 'systems').glob('*.py'))
+        paths = list((_PACKAGE / 'systems').rglob('*.py'))
         self.assertGreater(len(paths), 5)
         self.assertTrue(_is_forbidden('figlane.wire.peer'))
 
--- a/tests/test_failure_domain.py
+++ b/tests/test_failure_domain.py
@@ -9,7 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from types import MappingProxyType
 
-from figlane.systems.domains import INITIAL_WEIGHT, RAMP_SECONDS
+from figlane.systems.membership.domains import INITIAL_WEIGHT, RAMP_SECONDS
 from standins.fleet import BackendOptions, Fleet, Reply, call, wait_until
 
 _LEAVE_TIMEOUT_SECONDS = 5
