Bound what a server may send in one exchange

Change: ResponseLimits, in bytes: 64 KB for everything that is no body (and four times the body for its chunks), 256 headers, 1 MB for other requests, 16 MB for a body without a listener. Above a bound the connection is closed at once; what was sent may have run, so the outcome is unknown. A streamed body has no bound, since it is passed on. Bodies are buffered in one bytearray.

--- a/src/figlane/adapters/http_exchange.py
+++ b/src/figlane/adapters/http_exchange.py
@@ -52,6 +52,27 @@
     checksum: int
 
 
+@dataclass(slots=True, frozen=True)
+class ResponseLimits:
+    """Bounds of what a server may send, all but ``headers`` in bytes.
+
+    ``head_bytes`` bounds everything that is not a body: heads, interim
+    responses, chunk sizes and trailers. Chunks add ``framing_factor`` for each
+    byte of the body. ``headers`` bounds the number of headers of a response,
+    ``discarded_bytes`` the bodies of responses to other requests, and
+    ``body_bytes`` a body without a listener.
+    """
+
+    head_bytes: int = 65_536
+    headers: int = 256
+    framing_factor: int = 4
+    discarded_bytes: int = 1_048_576
+    body_bytes: int = 16_777_216
+
+
+_DEFAULT_LIMITS = ResponseLimits()
+
+
 HttpOutcome = Answer | HttpFailure | HttpStreamEnd
 OutcomeCallback = Callable[[HttpOutcome], None]
 
@@ -88,14 +109,17 @@
 class Exchange:
     """Buffers or streams one response and reports exactly one outcome.
 
-    Without a listener, responses of any size are buffered. A response that
+    Without a listener, the whole response is buffered. A response that
     ``matches_request`` rejects belongs to an earlier request on the connection
-    and is discarded.
+    and is discarded. A server that exceeds the limits fails the exchange, which
+    closes its connection.
     """
 
     __slots__ = (
+        '_buffer',
         '_checksum',
-        '_chunks',
+        '_discarded_bytes',
+        '_exceeded_limit',
         '_finish',
         '_has_headers',
         '_headers',
@@ -103,8 +127,10 @@
         '_is_streaming',
         '_is_unmatched',
         '_length',
+        '_limits',
         '_listener',
         '_matches_request',
+        '_overhead_bytes',
         '_parser',
         '_transport',
         'is_reusable',
@@ -117,6 +143,7 @@
         finish: OutcomeCallback,
         listener: StreamListener | None = None,
         matches_request: Callable[[Headers], bool] | None = None,
+        limits: ResponseLimits = _DEFAULT_LIMITS,
     ) -> None:
         """Create an exchange that is not bound to a connection yet.
 
@@ -127,13 +154,14 @@
         :param matches_request: predicate on the response headers; False if
             the response belongs to another request. By default, every
             response is accepted.
+        :param limits: bounds of what the server may send.
         """
         self.request = request
         self.is_reusable = False
         self._finish: OutcomeCallback | None = finish
         self._listener = listener
         self._headers: list[tuple[bytes, bytes]] = []
-        self._chunks: list[bytes] = []
+        self._buffer = bytearray()
         self._length = 0
         self._checksum = 0
         self._is_streaming = False
@@ -141,6 +169,10 @@
         self._is_unmatched = False
         self._has_headers = False
         self._matches_request = matches_request
+        self._limits = limits
+        self._overhead_bytes = 0
+        self._discarded_bytes = 0
+        self._exceeded_limit = ''
         self._transport: ReadableTransport | None = None
         self._parser = httptools.HttpResponseParser(self)
 
@@ -164,11 +196,21 @@
 
         :param received: the bytes.
         """
+        body_bytes = self._length + self._discarded_bytes
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as error:
             self.fail(f'malformed HTTP response: {error}')
             self._abort()
+            return
+        body_bytes = self._length + self._discarded_bytes - body_bytes
+        self._overhead_bytes += len(received) - body_bytes
+        self._check_limits()
+        if self._exceeded_limit and not self.is_done:
+            self.fail(
+                f'HTTP response exceeds the limit: {self._exceeded_limit}'
+            )
+            self._abort()
 
     def handle_eof(self) -> None:
         """Handle a regular close of the connection by the server.
@@ -230,6 +272,9 @@
         :param name: header name.
         :param value: header value.
         """
+        if len(self._headers) >= self._limits.headers:
+            self._exceeded_limit = f'{self._limits.headers} headers'
+            return
         self._headers.append((name.lower(), value))
 
     def on_body(self, body: bytes) -> None:
@@ -238,12 +283,13 @@
         :param body: the bytes.
         """
         if self._is_unmatched:
+            self._discarded_bytes += len(body)
             return
         self._length += len(body)
         if self._is_streaming:
             self._deliver_chunk(body)
             return
-        self._chunks.append(body)
+        self._buffer += body
         if self._listener is not None and self._length > MAX_BUFFERED_BYTES:
             self._start_stream(self._listener)
 
@@ -260,6 +306,18 @@
         self.is_reusable = self._parser.should_keep_alive()
         self._complete()
 
+    def _check_limits(self) -> None:
+        limits = self._limits
+        max_overhead = limits.head_bytes + limits.framing_factor * self._length
+        if self._overhead_bytes > max_overhead:
+            self._exceeded_limit = f'{limits.head_bytes} bytes of head'
+        if self._discarded_bytes > limits.discarded_bytes:
+            self._exceeded_limit = (
+                f'{limits.discarded_bytes} bytes for other requests'
+            )
+        if self._length > limits.body_bytes and not self._is_streaming:
+            self._exceeded_limit = f'{limits.body_bytes} bytes of body'
+
     def _is_delimited_by_close(self) -> bool:
         names = {name for name, _ in self._headers}
         has_length = _CONTENT_LENGTH in names or _TRANSFER_ENCODING in names
@@ -273,7 +331,7 @@
             Answer(
                 self._parser.get_status_code(),
                 tuple(self._headers),
-                b''.join(self._chunks),
+                bytes(self._buffer),
             ),
         )
 
@@ -281,10 +339,9 @@
         self._is_streaming = True
         headers = tuple(self._headers)
         listener.on_head(ResponseHead(self._parser.get_status_code(), headers))
-        chunks = self._chunks
-        self._chunks = []
-        for chunk in chunks:
-            self._deliver_chunk(chunk)
+        buffered = bytes(self._buffer)
+        self._buffer.clear()
+        self._deliver_chunk(buffered)
 
     def _deliver_chunk(self, chunk: bytes) -> None:
         if self._listener is None or self._finish is None:
