Use a holder of tokens again once its late answer arrives

Cause: a holder that did not answer a request for tokens within 0.1 s got no other for a second, although its answer came a moment later. If it was the only holder with tokens, the entry node refused all calls without a token meanwhile. A process that is not scheduled for a tenth of a second is enough.

Change: a late grant ends the back-off. Its tokens are lost as before. Tried: a back-off that doubles from 0.05 s; it changed the scenario of test_paused_node_drops_expired_tokens and was not needed.

--- a/src/figlane/systems/quotas/stock.py
+++ b/src/figlane/systems/quotas/stock.py
@@ -92,7 +92,10 @@
 
 @peer_handlers.register(TokenGrant)
 def handle_token_grant(world: World, row: PeerMessage, now: float) -> None:
-    """Add granted tokens to the stock; duplicate or late grants are ignored.
+    """Add granted tokens to the stock.
+
+    The tokens of a duplicate or late grant are lost, but it shows that the
+    holder answers.
 
     :param world: the tables.
     :param row: the grant.
@@ -104,6 +107,9 @@
     pending = stock.pending_by_id.get(grant.request_id) if stock else None
     if stock is None or pending is None or pending.holder != row.sender:
         world.counters['quota.grant.late'] += 1
+        if stock is not None:
+            _end_backoff(stock, row.sender, now)
+            world.quota.stocks.schedule(stock, now)
         return
     stock.pending_by_id.pop(grant.request_id)
     stock.last_answer_at = now
@@ -121,6 +127,13 @@
     world.quota.stocks.schedule(stock, now)
 
 
+def _end_backoff(stock: Stock, holder: str, now: float) -> None:
+    bucket = stock.bucket_by_holder.get(holder)
+    if bucket is not None and bucket.backoff_until > now:
+        bucket.backoff_until = now
+        stock.last_answer_at = now
+
+
 @system(Stage.CHARGING, RunCondition('quota.stocks'))
 def serve_stocks(world: World, now: float) -> None:
     """Spend tokens on waiting calls and request more from the holders.
