Answer what has arrived before a process stops

Cause: at the end of a planned stop the listeners were closed and the process ended at once. A request in the listen queue was reset, a half received one was closed, and a call that came after the last check was cut when its loop ended; answers still in a write buffer were lost. Executions whose key is being claimed did not count as work.

Change: CallbackHttpServer.stop first accepts what waits, and closes once no request is open or half received and all answers are written, after 0.4 s at most, a part of the time that was reserved. Calls that arrive after the drain are refused as draining, not run, since the process ends before they could.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -21,6 +21,8 @@
 _BACKLOG = 2048
 # Maximum number of pipelined requests queued per connection.
 _MAX_PIPELINED = 16
+# Interval at which a server that stops looks for open requests, in seconds.
+_STOP_CHECK_SECONDS = 0.02
 # Write buffer size, in bytes, above which a connection counts as congested.
 _WRITE_HIGH_WATER_BYTES = 262_144
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -121,6 +123,20 @@
         """
         return self._transport is None
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is open or half received, or an answer is unsent.
+
+        :return: True if closing the connection would cut a request off.
+        """
+        transport = self._transport
+        if transport is None:
+            return False
+        reader = self._reader
+        is_receiving = reader.is_in_head or reader.is_in_body
+        is_open = self._has_open_request or is_receiving
+        return is_open or transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle time-out for the first request.
 
@@ -392,6 +408,23 @@
         """
         self.state.is_closing = True
 
+    async def stop(self, seconds: float) -> None:
+        """Answer the requests that have arrived, then close the server.
+
+        Connections that wait to be accepted are accepted first.
+
+        :param seconds: the longest wait for open requests, in seconds.
+        """
+        loop = self.state.loop
+        ends_at = loop.time() + seconds
+        is_busy = True
+        while is_busy and loop.time() < ends_at:
+            await asyncio.sleep(_STOP_CHECK_SECONDS)
+            is_busy = any(
+                connection.is_busy for connection in self.state.connections
+            )
+        self.close()
+
     def close(self) -> None:
         """Stop listening and close all idle connections."""
         if self._server is not None:
--- a/src/figlane/platform/interface.py
+++ b/src/figlane/platform/interface.py
@@ -34,8 +34,10 @@
 from figlane.settings import split_address
 
 # Part of the grace period that is reserved for the shutdown of the process
-# after the last call, in seconds.
+# after the last call, in seconds, and part of it in which requests that arrive
+# after the drain are answered.
 _EXIT_RESERVE_SECONDS = 0.8
+_STOP_SECONDS = 0.4
 
 
 class PlatformInterface:
@@ -122,7 +124,8 @@
         await self._metrics_server.start(host, self._settings.metrics_port)
 
     async def stop(self) -> None:
-        """Close the listening sockets, after all open requests have ended."""
+        """Close the listening sockets after the requests that have arrived."""
+        await self._entry_server.stop(_STOP_SECONDS)
         for server, _ in self._servers:
             server.close()
         self._metrics_server.close()
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from figlane.entities.call import CallPhase
+from figlane.entities.call import Call, CallPhase
 from figlane.entities.execution import ExecutionPhase
 from figlane.entities.gossip import MembersResponse, MemberState
 from figlane.entities.link import LinkPhase
@@ -42,6 +42,8 @@
 _CHECK_SECONDS = 0.25
 
 _UNFINISHED = (
+    ExecutionPhase.KEYED,
+    ExecutionPhase.CLAIMING,
     ExecutionPhase.QUEUED,
     ExecutionPhase.RUNNING,
     ExecutionPhase.ANSWERED,
@@ -100,7 +102,7 @@
 
     Child calls of executions that still run here are accepted. Root calls are
     accepted for ``ENTRY_GRACE_SECONDS``, and also later if the request to drain
-    allows it.
+    allows it. Once the process is about to stop, no call could end any more.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -111,14 +113,19 @@
     for execution in world.executions.in_phase(ExecutionPhase.QUEUED):
         if execution.queued_at > drain.began_at:
             end_execution(world, execution, Refusal(ErrorKind.DRAINING), now)
-    is_entry_grace = now < drain.began_at + ENTRY_GRACE_SECONDS
-    if is_entry_grace or drain.accepts_root_calls:
-        return
     for call in world.calls.in_phase(CallPhase.ARRIVED):
-        if not call.context_token:
+        if not _accepts(drain, call, now):
             finish_call(world, call, Refusal(ErrorKind.DRAINING))
 
 
+def _accepts(drain: NodeDrain, call: Call, now: float) -> bool:
+    if drain.phase is DrainPhase.DRAINED and drain.stops_process:
+        return False
+    is_entry_grace = now < drain.began_at + ENTRY_GRACE_SECONDS
+    is_child_call = bool(call.context_token)
+    return is_entry_grace or is_child_call or drain.accepts_root_calls
+
+
 @system(Stage.COMPLETION, RunCondition('node_drains'))
 def end_drain(world: World, now: float) -> None:
     """End the drain when no work is left or its time limit has passed.
--- a/tests/adapters/test_http_callback_server.py
+++ b/tests/adapters/test_http_callback_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from unittest import IsolatedAsyncioTestCase
 
 from figlane.adapters.http_callback_server import (
@@ -107,6 +108,45 @@
         self.writer.write(_FIRST)
         self.assertIn(b'connection: close', await self.reader.read())
 
+    async def test_stop_answers_half_received_request(self) -> None:
+        """A request whose last bytes come during the stop is answered."""
+        self.writer.write(_POST)
+        await asyncio.sleep(0.05)
+        stopping = self._stop()
+        await asyncio.sleep(0.05)
+        self.writer.write(b'ab')
+        self.assertIn(b' 200 ', await self._read_response())
+        self.writer.close()
+        await stopping
+
+    async def test_stop_answers_open_request(self) -> None:
+        """A stop waits for the answer of an open request."""
+        self.delay = 0.1
+        self.writer.write(_FIRST)
+        await asyncio.sleep(0.05)
+        stopping = self._stop()
+        self.assertIn(b' 200 ', await self._read_response())
+        self.writer.close()
+        await stopping
+
+    async def test_stop_answers_waiting_connection(self) -> None:
+        """A connection in the listen queue is accepted and answered.
+
+        A server that closes at once resets it.
+        """
+        waiting = socket.create_connection(tuple(self.address))
+        self.addCleanup(waiting.close)
+        waiting.sendall(_FIRST)
+        stopping = self._stop()
+        answer = await asyncio.to_thread(waiting.recv, 1000)
+        self.assertIn(b' 200 ', answer)
+        waiting.close()
+        await stopping
+
+    def _stop(self) -> asyncio.Task[None]:
+        stop = self.server.stop(1)
+        return asyncio.get_running_loop().create_task(stop)
+
     async def _read_response(self) -> bytes:
         head = await self.reader.readuntil(b'\r\n\r\n')
         length = int(head.split(b'content-length: ')[1].split(b'\r')[0])
