Take no answer without a request id on a connection in use again

Cause: an answer without a request id counted as the answer to the request that was open. A server that sends a second copy of an answer late, without the id, on a connection that carries the next request, gave it to the next caller.

Change: on a connection that has carried another request, an answer without an id is discarded like one with another id. What comes first on a new connection cannot be a copy.

--- a/src/figlane/adapters/backend_client.py
+++ b/src/figlane/adapters/backend_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -103,7 +104,7 @@
             self._dialect.encode(row),
             lambda outcome: self._deliver_outcome(row, outcome),
             _StreamRelay(row, self._deliver),
-            lambda headers: self._dialect.is_response_to(row, headers),
+            functools.partial(self._dialect.is_response_to, row),
         )
         if not exchange.is_done:
             self._exchange_by_id[row.execution_id] = exchange
--- a/src/figlane/adapters/backend_dialect.py
+++ b/src/figlane/adapters/backend_dialect.py
@@ -28,11 +28,14 @@
         :return: the request.
         """
 
-    def is_response_to(self, row: RunOnBackend, headers: Headers) -> bool:
+    def is_response_to(
+        self, row: RunOnBackend, headers: Headers, is_reused: bool
+    ) -> bool:
         """Check whether a response answers this execution's request.
 
         :param row: the execution's request and metadata.
         :param headers: the response headers.
+        :param is_reused: whether the connection has carried another request.
         :return: False for a response to another request.
         """
 
@@ -76,11 +79,14 @@
             row.request.body,
         )
 
-    def is_response_to(self, row: RunOnBackend, headers: Headers) -> bool:
+    def is_response_to(
+        self, row: RunOnBackend, headers: Headers, is_reused: bool
+    ) -> bool:
         """Accept every response, since none carries a request identifier.
 
         :param row: the execution's request and metadata.
         :param headers: the response headers.
+        :param is_reused: whether the connection has carried another request.
         :return: True.
         """
         return True
--- a/src/figlane/adapters/http_client.py
+++ b/src/figlane/adapters/http_client.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 from typing import cast
 
 from figlane.adapters.http_exchange import (
     Exchange,
     OutcomeCallback,
+    ResponseMatcher,
     StreamListener,
     encode_request,
 )
@@ -81,11 +81,12 @@
 class _Connection(asyncio.Protocol):
     """Client connection that carries one exchange at a time."""
 
-    __slots__ = ('_exchange', '_pool', 'idle_since', 'transport')
+    __slots__ = ('_exchange', '_is_used', '_pool', 'idle_since', 'transport')
 
     def __init__(self, pool: HttpPool) -> None:
         self._pool = pool
         self._exchange: Exchange | None = None
+        self._is_used = False
         self.transport: asyncio.Transport | None = None
         self.idle_since: float = 0
 
@@ -118,7 +119,8 @@
             exchange.fail('connection closed', was_sent=False)
             return
         self._exchange = exchange
-        exchange.bind(transport)
+        exchange.bind(transport, is_reused=self._is_used)
+        self._is_used = True
         transport.write(encode_request(exchange.request, host))
 
     def abort(self) -> None:
@@ -163,7 +165,7 @@
         request: Request,
         finish: OutcomeCallback,
         listener: StreamListener | None = None,
-        matches_request: Callable[[Headers], bool] | None = None,
+        matches_request: ResponseMatcher | None = None,
     ) -> Exchange:
         """Send a request on an idle connection or on a new one.
 
@@ -171,8 +173,8 @@
         :param finish: callback for the outcome. It is called once, unless the
             exchange is cancelled, and never before this method returns.
         :param listener: receives a response that is too large to buffer.
-        :param matches_request: predicate on the response headers; False if
-            the response belongs to another request.
+        :param matches_request: False if the response belongs to another
+            request.
         :return: the exchange, through which the request can be cancelled or
             paused.
         """
--- a/src/figlane/adapters/http_exchange.py
+++ b/src/figlane/adapters/http_exchange.py
@@ -75,6 +75,9 @@
 
 HttpOutcome = Answer | HttpFailure | HttpStreamEnd
 OutcomeCallback = Callable[[HttpOutcome], None]
+# Predicate on the headers of a response. The second argument tells whether the
+# connection has carried another request before.
+ResponseMatcher = Callable[[Headers, bool], bool]
 
 
 class StreamListener(Protocol):
@@ -124,6 +127,7 @@
         '_has_headers',
         '_headers',
         '_is_paused',
+        '_is_reused',
         '_is_streaming',
         '_is_unmatched',
         '_length',
@@ -142,7 +146,7 @@
         request: Request,
         finish: OutcomeCallback,
         listener: StreamListener | None = None,
-        matches_request: Callable[[Headers], bool] | None = None,
+        matches_request: ResponseMatcher | None = None,
         limits: ResponseLimits = _DEFAULT_LIMITS,
     ) -> None:
         """Create an exchange that is not bound to a connection yet.
@@ -151,9 +155,8 @@
         :param finish: callback for the outcome; called once, unless the
             exchange is cancelled.
         :param listener: receives a response that is too large to buffer.
-        :param matches_request: predicate on the response headers; False if
-            the response belongs to another request. By default, every
-            response is accepted.
+        :param matches_request: False if the response belongs to another
+            request. By default, every response is accepted.
         :param limits: bounds of what the server may send.
         """
         self.request = request
@@ -166,6 +169,7 @@
         self._checksum = 0
         self._is_streaming = False
         self._is_paused = False
+        self._is_reused = False
         self._is_unmatched = False
         self._has_headers = False
         self._matches_request = matches_request
@@ -184,12 +188,16 @@
         """
         return self._finish is None
 
-    def bind(self, transport: ReadableTransport) -> None:
+    def bind(
+        self, transport: ReadableTransport, *, is_reused: bool = False
+    ) -> None:
         """Bind the exchange to the connection that carries the request.
 
         :param transport: the connection's transport.
+        :param is_reused: whether the connection has carried another request.
         """
         self._transport = transport
+        self._is_reused = is_reused
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes of the response.
@@ -264,7 +272,9 @@
             return
         self._has_headers = True
         if self._matches_request is not None:
-            self._is_unmatched = not self._matches_request(tuple(self._headers))
+            headers = tuple(self._headers)
+            matches = self._matches_request(headers, self._is_reused)
+            self._is_unmatched = not matches
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a response header.
--- a/src/figlane/platform/backend.py
+++ b/src/figlane/platform/backend.py
@@ -39,16 +39,22 @@
             row.request.body,
         )
 
-    def is_response_to(self, row: RunOnBackend, headers: Headers) -> bool:
+    def is_response_to(
+        self, row: RunOnBackend, headers: Headers, is_reused: bool
+    ) -> bool:
         """Check by the request id whether an answer belongs to this request.
 
+        Backend servers return the id. An answer without one may be a late copy
+        of the answer to an earlier request on the connection.
+
         :param row: the execution's request and properties.
         :param headers: the answer's headers.
-        :return: False if the answer carries the id of another request.
+        :param is_reused: whether the connection has carried another request.
+        :return: False if the answer belongs, or may belong, to another request.
         """
         answer_request_id = names.find_value(headers, names.REQUEST_ID)
         if not answer_request_id:
-            return True
+            return not is_reused
         return answer_request_id == names.find_value(
             row.request.headers, names.REQUEST_ID
         )
--- a/tests/adapters/test_http_exchange.py
+++ b/tests/adapters/test_http_exchange.py
@@ -74,7 +74,7 @@
     yield from itertools.repeat(endless * (_PIECE // len(endless)))
 
 
-def _is_own(headers: Headers) -> bool:
+def _is_own(headers: Headers, is_reused: bool) -> bool:
     return (b'id', b'2') in headers
 
 
