Confirm the configuration after a pause before calls are identified

Cause: a process that was paused went on with the configuration of before. Calls that had arrived meanwhile, or came until the next comparison with a peer (up to 1.2 s), ran with keys that had been withdrawn and routes that had changed.

Change: the first tick after two seconds without one asks three peers for their versions. Until one answers, or a newer configuration comes, arrived calls wait, 0.5 s at most, and not at all where no peer is known.

--- a/src/figlane/systems/calls/identification.py
+++ b/src/figlane/systems/calls/identification.py
@@ -16,6 +16,7 @@
     choose_destination,
     select_route,
 )
+from figlane.systems.configuration.pauses import awaits_confirmation
 from figlane.systems.registry import Stage, inbox_handlers, system
 from figlane.systems.tracing import begin_entry_span
 
@@ -43,6 +44,8 @@
     :param world: the tables.
     :param now: the present time in seconds.
     """
+    if awaits_confirmation(world, now):
+        return
     for call in world.calls.in_phase(CallPhase.ARRIVED):
         refusal = identify(world, call, now)
         if refusal is not None:
--- a/src/figlane/systems/configuration/exchange.py
+++ b/src/figlane/systems/configuration/exchange.py
@@ -205,6 +205,8 @@
         if missing:
             send_message(world, row.sender, ObjectRequest(missing))
             return
+    if status.asked_at >= exchange.resumed_at:
+        exchange.confirm_by = now
     _record_contact(world, row.sender, status)
 
 
--- a/tests/systems/configuration/test_watching.py
+++ b/tests/systems/configuration/test_watching.py
@@ -94,6 +94,45 @@
         self.model.run(3)
         self._require_change()
 
+    def test_paused_node_confirms_first(self) -> None:
+        """Calls that arrived during a pause go by the new configuration.
+
+        They may carry a key that was withdrawn while the process was paused.
+        """
+        for seconds in (3, 8):
+            with self.subTest(seconds=seconds):
+                self.model.paused = {'n4'}
+                version = self.model.configure()
+                self.model.call('n4')
+                self.model.run(seconds)
+                self.model.paused.clear()
+                self.model.answers.clear()
+                self.model.run(0.5)
+                self.assertEqual([version], self._answered_versions())
+
+    def test_pause_without_change(self) -> None:
+        """Calls wait for one round trip only if nothing has changed."""
+        self.model.paused = {'n4'}
+        self.model.call('n4')
+        self.model.run(5)
+        self.model.paused.clear()
+        began = self.model.now
+        self.model.run(0.3)
+        self.assertEqual(len(self.model.answers), 1)
+        # A message takes one step of the model in each direction.
+        at, _ = self.model.answers[0]
+        self.assertLessEqual(at - began, 0.2)
+
+    def test_pause_of_a_node_alone(self) -> None:
+        """Calls do not wait long if no peer answers."""
+        self.model.cut_off({'n4'})
+        self.model.paused = {'n4'}
+        self.model.call('n4')
+        self.model.run(3)
+        self.model.paused.clear()
+        self.model.run(0.8)
+        self.assertEqual(len(self.model.answers), 1)
+
     def test_lost_history(self) -> None:
         """The store has dropped its history."""
         for node_id in self.model.worlds:
@@ -128,6 +167,9 @@
                 self.assertLessEqual(large.messages, 1.1 * small.messages)
                 self.assertLessEqual(large.bytes, 1.1 * small.bytes)
 
+    def _answered_versions(self) -> list[int]:
+        return [version for _, version in self.model.answers]
+
     def _out_count(self) -> int:
         return sum(
             is_taken_out(world, 'a') for world in self.model.worlds.values()
--- a/tests/systems/fleet_model.py
+++ b/tests/systems/fleet_model.py
@@ -8,8 +8,11 @@
 from random import Random
 from typing import Any
 
+from figlane.entities.call import Call
 from figlane.entities.gossip import SendDatagram
+from figlane.entities.http import Request
 from figlane.entities.inbox import (
+    CallArrived,
     NodeStarted,
     ObjectChanged,
     ObjectWritten,
@@ -26,7 +29,7 @@
     WatchKind,
 )
 from figlane.entities.member import CONTACT_KIND, FindContacts, Member
-from figlane.entities.outbox import SendToPeer, WriteObject
+from figlane.entities.outbox import AnswerCaller, SendToPeer, WriteObject
 from figlane.entities.service import FailureDomain
 from figlane.entities.world import Identity, Policies, World
 from figlane.systems.membership.readiness import is_ready
@@ -69,7 +72,8 @@
     and ``cut`` holds pairs of nodes without a path between them, in both
     orders. ``is_store_down`` makes every call to the store fail. The prices of
     the calls are counted in ``price_by_node``, messages between nodes in
-    ``sent_by_node`` and their bytes in ``bytes_by_node``.
+    ``sent_by_node`` and their bytes in ``bytes_by_node``. ``answers`` holds
+    the time of each answer to a caller, and the version in force then.
     """
 
     domains: tuple[str, ...]
@@ -90,6 +94,7 @@
     sent_by_node: Counter[str] = field(default_factory=Counter)
     bytes_by_node: Counter[str] = field(default_factory=Counter)
     starts: int = 0
+    answers: list[tuple[float, int]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Write the first configuration and start all nodes."""
@@ -175,6 +180,15 @@
             if len(part.intersection(pair)) == 1:
                 self.cut.add(pair)
 
+    def call(self, node_id: str) -> None:
+        """Let a call without a route arrive at a node.
+
+        :param node_id: the entry node; the call waits while it is paused.
+        """
+        request = Request('GET', '/', ())
+        call = Call(f'c{self.now}', '', request, self.now, host='a.example')
+        self.in_flight.append((node_id, CallArrived(call)))
+
     def run(self, seconds: float) -> None:
         """Advance the time.
 
@@ -249,6 +263,8 @@
         for row in rows:
             if isinstance(row, SendToPeer | SendDatagram):
                 self._transmit(node_id, row)
+            if isinstance(row, AnswerCaller):
+                self.answers.append((self.now, world.ingress.version))
             if isinstance(row, ReadKind | WatchKind | WriteObject):
                 self._call_store(node_id, row)
 
