Send only the members that differ to a peer that was not asked before

Cause: while member lists differ, as after the loss of a failure domain, a node compares lists each second, one time in five with any member, and got the whole list from one that it had not asked before: 234 B x n. A node that starts asked three contacts in any failure domain for the whole list.

Change: the request has a summary of 8 bytes for each member, and the peer sends what differs. A settled node sends none. A node that starts asks one contact, in its own failure domain if there is one, and three at the next try.

--- a/src/figlane/entities/gossip.py
+++ b/src/figlane/entities/gossip.py
@@ -52,13 +52,17 @@
 
     It is sent over the link, not as a datagram. ``sender`` is the state of the
     requesting node, which the peer may not know. Only changes after ``since``
-    are needed, a change number of the peer's ``epoch``; 0 requests all.
+    are needed, a change number of the peer's ``epoch``. If ``since`` is 0, what
+    differs from ``summary`` is needed: four bytes each of the hashes of a
+    member's id, and of its incarnation and phase. Without either, the request
+    only compares the checksums.
     """
 
     checksum: int
     sender: MemberState | None = None
     since: int = 0
     epoch: int = 0
+    summary: bytes = b''
 
 
 @dataclass(slots=True)
--- a/src/figlane/entities/member.py
+++ b/src/figlane/entities/member.py
@@ -94,7 +94,8 @@
     store last listed the contacts. This node has been a contact since
     ``contact_since``. ``is_listing`` and ``is_claiming`` are set while a
     request to the store is open. ``failures`` counts the requests in a row that
-    failed. ``claim_chance`` is the probability of taking a slot after no
+    failed. ``asks`` counts the rounds of questions to contacts.
+    ``claim_chance`` is the probability of taking a slot after no
     contact was found.
     """
 
@@ -107,6 +108,7 @@
     is_listing: bool = False
     is_claiming: bool = False
     failures: int = 0
+    asks: int = 0
     claim_chance: float = 1
 
 
--- a/src/figlane/systems/membership/contacts.py
+++ b/src/figlane/systems/membership/contacts.py
@@ -11,7 +11,12 @@
 from __future__ import annotations
 
 from figlane.entities.gossip import MemberState
-from figlane.entities.inbox import ObjectChanged, ObjectWritten, WriteStatus
+from figlane.entities.inbox import (
+    MemberRecord,
+    ObjectChanged,
+    ObjectWritten,
+    WriteStatus,
+)
 from figlane.entities.kind_feed import ReadKind
 from figlane.entities.member import (
     CONTACT_KIND,
@@ -38,7 +43,7 @@
 ROUTINE = 'find-contacts'
 # A contact and a spare one, for the time in which a lost contact is replaced.
 SLOTS_PER_DOMAIN = 2
-# Contacts that a joining node asks.
+# Contacts that a joining node asks if the first one has not answered.
 _ASKED_CONTACTS = 3
 # Time within which a contact answers a joining node.
 _ANSWER_SECONDS = 0.4
@@ -287,9 +292,21 @@
         asked = world.gossip.known_change_by_peer
         records = [record for record in records if record.id not in asked]
     else:
-        count = min(_ASKED_CONTACTS, len(records))
-        records = world.random.sample(records, count)
+        records = _chosen_contacts(world, records)
     for record in records:
         state = MemberState(record, MemberPhase.ALIVE.value)
         merge_state(world, state, now)
         ask_for_members(world, record.id)
+
+
+def _chosen_contacts(
+    world: World, records: list[MemberRecord]
+) -> list[MemberRecord]:
+    # The first one is in the own failure domain, where bytes cost less, and
+    # one answer contains the whole member list.
+    world.join.asks += 1
+    domain = world.identity.failure_domain
+    near = [record for record in records if record.failure_domain == domain]
+    if world.join.asks == 1 and near:
+        return [world.random.choice(near)]
+    return world.random.sample(records, min(_ASKED_CONTACTS, len(records)))
--- a/src/figlane/systems/membership/lists.py
+++ b/src/figlane/systems/membership/lists.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Sequence
 
 import xxhash
@@ -32,6 +33,8 @@
 _EARLY_SECONDS = 8.0
 # Probability of asking any member then: all contacts may lack a member.
 _ANY_PEER_PROBABILITY = 0.2
+# Hashes of a member's id and of its state in the summary of a member list.
+_SUMMARY = struct.Struct('>II')
 # Member states in one message.
 _BATCH_SIZE = 200
 _ROUTINE = 'compare-members'
@@ -84,9 +87,19 @@
     epoch, change = known.get(node_id, (0, 0))
     sender = MemberState(record_of(own), own.phase.value)
     request = MembersRequest(checksum(world), sender, change, epoch)
+    if not change and not world.gossip.is_settled:
+        request.summary = b''.join(map(_summary, world.members))
     send_message(world, node_id, request)
 
 
+def _summary(member: Member) -> bytes:
+    version = f'{member.incarnation}/{member.phase.value}'
+    return _SUMMARY.pack(
+        xxhash.xxh32_intdigest(member.id.encode()),
+        xxhash.xxh32_intdigest(version.encode()),
+    )
+
+
 def checksum(world: World) -> int:
     """Compute a checksum of the member list; dead members are left out.
 
@@ -116,14 +129,12 @@
     gossip = world.gossip
     own_epoch = world.identity.incarnation
     since = request.since if request.epoch == own_epoch else 0
-    states = []
     is_same = request.checksum == checksum(world)
-    if not is_same:
-        states = [
-            MemberState(record_of(member), member.phase.value)
-            for member in world.members
-            if _is_changed(world, member, since)
-        ]
+    states = [
+        MemberState(record_of(member), member.phase.value)
+        for member in _needed_members(world, request, since)
+        if not is_same
+    ]
     while len(states) > _BATCH_SIZE:
         batch = MembersResponse(states[:_BATCH_SIZE])
         send_message(world, row.sender, batch)
@@ -160,10 +171,31 @@
     }
 
 
-def _is_changed(world: World, member: Member, since: int) -> bool:
-    if not since:
-        return True
-    return world.gossip.change_by_id.get(member.id, 0) > since
+def _needed_members(
+    world: World, request: MembersRequest, since: int
+) -> list[Member]:
+    if since:
+        change_by_id = world.gossip.change_by_id
+        return [
+            member
+            for member in world.members
+            if change_by_id.get(member.id, 0) > since
+        ]
+    if len(request.summary) % _SUMMARY.size:
+        return []
+    known = dict(_SUMMARY.iter_unpack(request.summary))
+    return [
+        member for member in world.members if known and _differs(known, member)
+    ]
+
+
+def _differs(known: dict[int, int], member: Member) -> bool:
+    # A dead member that the peer does not know is of no use to it.
+    id_hash, version_hash = _SUMMARY.unpack(_summary(member))
+    unknown = member.phase is not MemberPhase.DEAD
+    if id_hash not in known:
+        return unknown
+    return known[id_hash] != version_hash
 
 
 @peer_handlers.register(MembersResponse)
