--- a/src/figlane/entities/kind_feed.py
+++ b/src/figlane/entities/kind_feed.py
@@ -31,12 +31,14 @@
     ``failures`` counts the requests that failed since the last answer.
     ``answered_at`` is the time of the store's last answer for this kind.
     Until ``alone_at``, a node that is not a watcher waits for a peer to send
-    the objects.
+    the objects. ``is_followed`` is set while this node follows the kind in the
+    store by itself.
     """
 
     id: str
     pause: float = 0
     alone_at: float = -NEVER
+    is_followed: bool = False
     revision: int = 0
     failures: int = 0
     answered_at: float = -NEVER
--- a/src/figlane/systems/configuration/kind_feeds.py
+++ b/src/figlane/systems/configuration/kind_feeds.py
@@ -20,6 +20,7 @@
     WatchKind,
 )
 from figlane.entities.member import CONTACT_KIND, ContactPhase
+from figlane.entities.outbox import LogDecision
 from figlane.entities.service import ConfigurationPhase
 from figlane.entities.world import World
 from figlane.registry import RunCondition
@@ -79,6 +80,7 @@
     """
     for feed in world.kind_feeds.pop_due(now):
         if not _follows(world, feed, now):
+            feed.is_followed = False
             check_at = now + jittered(world, _ROLE_CHECK_SECONDS)
             if now < feed.alone_at:
                 check_at = min(check_at, feed.alone_at)
@@ -88,6 +90,9 @@
 
 
 def _start_request(world: World, feed: KindFeed, now: float) -> None:
+    if not feed.is_followed:
+        feed.is_followed = True
+        _log_following(world, feed)
     is_old = now - feed.answered_at > _MAX_REVISION_AGE_SECONDS
     if feed.phase is KindFeedPhase.UNREAD or is_old:
         world.kind_feeds.move(feed, KindFeedPhase.READING)
@@ -98,6 +103,18 @@
         world.outbox.append(watch)
 
 
+def _log_following(world: World, feed: KindFeed) -> None:
+    exchange = world.configuration_exchange
+    inputs = {
+        'kind': feed.id,
+        'is_in_charge': is_in_charge(world),
+        'silent_watcher': exchange.silent_id,
+        'unanswered': exchange.misses,
+        'configuration': world.ingress.version,
+    }
+    world.outbox.append(LogDecision('store_followed', inputs))
+
+
 def _follows(world: World, feed: KindFeed, now: float) -> bool:
     # The objects of all kinds come from peers together with a configuration.
     if now < feed.alone_at:
--- a/src/figlane/systems/configuration/pauses.py
+++ b/src/figlane/systems/configuration/pauses.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from figlane.entities.configuration_messages import ConfigurationQuery
+from figlane.entities.outbox import LogDecision
 from figlane.entities.world import World
 from figlane.systems.configuration.exchange import ROUTINE, checksum
 from figlane.systems.links.messages import send_message
@@ -35,6 +36,13 @@
     if not was_paused or exchange.resumed_at == now or not world.kind_feeds:
         return
     exchange.resumed_at = now
+    seconds = round(world.seconds_since_last_tick, 3)
+    world.outbox.append(
+        LogDecision(
+            'process_resumed',
+            {'seconds': seconds, 'configuration': world.ingress.version},
+        )
+    )
     members = live_members(world)
     if not members or not world.ingress.version:
         return
--- a/src/figlane/systems/membership/contacts.py
+++ b/src/figlane/systems/membership/contacts.py
@@ -25,7 +25,7 @@
     FindContacts,
     MemberPhase,
 )
-from figlane.entities.outbox import WriteObject
+from figlane.entities.outbox import LogDecision, WriteObject
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.systems.configuration.versions import object_appliers
@@ -115,6 +115,9 @@
     join.listed_at = -NEVER
     if _is_contact(world):
         join.has_joined = now >= join.started_at + ALONE_SECONDS
+        if join.has_joined:
+            inputs = {'asks': join.asks}
+            world.outbox.append(LogDecision('fleet_not_found', inputs))
         return now + jittered(world, _ANSWER_SECONDS)
     slot = _own_slot(world)
     if slot is None or world.random.random() >= join.claim_chance:
@@ -267,6 +270,8 @@
         contact.version = row.version
         world.contacts.move(contact, ContactPhase.TAKEN)
         join.contact_since = now
+        inputs = {'slot': row.name, 'version': row.version}
+        world.outbox.append(LogDecision('contact_claimed', inputs))
     join.listed_at = now
     _ask_contacts(world, now)
     bring_forward(world, ROUTINE, now + _ANSWER_SECONDS)
--- a/src/figlane/systems/membership/lists.py
+++ b/src/figlane/systems/membership/lists.py
@@ -17,6 +17,7 @@
 )
 from figlane.entities.inbox import PeerMessage
 from figlane.entities.member import Member, MemberPhase
+from figlane.entities.outbox import LogDecision
 from figlane.entities.world import World
 from figlane.systems.links.messages import send_message
 from figlane.systems.membership.rendezvous import live_members
@@ -220,4 +221,14 @@
     if not world.join.has_joined:
         world.join.has_joined = True
         world.join.joined_at = now
+        world.outbox.append(
+            LogDecision(
+                'fleet_joined',
+                {
+                    'contact': row.sender,
+                    'members': len(world.members),
+                    'seconds': round(now - world.join.started_at, 3),
+                },
+            )
+        )
         bring_forward(world, _CONFIGURATION_ROUTINE, now)
