--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -14,7 +14,7 @@
 from figlane.entities.http import Request
 from figlane.platform.node import create_platform_node
 from figlane.platform.settings import PlatformSettings, parse_settings
-from figlane.systems.readiness import is_ready
+from figlane.systems.membership.readiness import is_ready
 from standins.addresses import reserve_addresses
 from standins.platform_backend import HEALTH_PATH, PlatformBackend
 from standins.platform_store import PlatformStore
--- a/tools/experiments/state_size.py
+++ b/tools/experiments/state_size.py
@@ -12,7 +12,7 @@
 from figlane.entities.member import Member
 from figlane.entities.service import Allowance, Organisation, Route, Service
 from figlane.entities.world import Identity, World
-from figlane.systems.routing import choose_of_two
+from figlane.systems.calls.routing import choose_of_two
 
 _SIZES = (10, 40, 160, 980)
 _MEMBERS_PER_SERVICE = 12
