Drop trailers, and bound what is no body after a head

Cause: trailers were appended to the headers. A caller's trailer replaced a header of its request, the API key among them, after the checks of the head; a server's trailer became a header of its answer. Chunk extensions and trailers of callers had no bound.

Change: trailers are dropped on both sides. What a caller sends in a body that is no body is bounded by the limit of the head and four times the body.

Result: test_trailers_are_dropped (both) and the three cases of test_endless_framing fail before and pass; test_pipelined_bodies passes.

--- a/src/figlane/adapters/http_exchange.py
+++ b/src/figlane/adapters/http_exchange.py
@@ -277,11 +277,13 @@
             self._is_unmatched = not matches
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a response header.
+        """Collect a response header; trailers are dropped.
 
         :param name: header name.
         :param value: header value.
         """
+        if self._has_headers:
+            return
         if len(self._headers) >= self._limits.headers:
             self._exceeded_limit = f'{self._limits.headers} headers'
             return
--- a/src/figlane/adapters/request_reader.py
+++ b/src/figlane/adapters/request_reader.py
@@ -10,6 +10,8 @@
 from figlane.entities.http import Headers
 from figlane.entities.ingress import CallerLimits
 
+# Bytes of chunk sizes for each byte of a body, above the limit of the head.
+_FRAMING_FACTOR = 4
 _BAD_REQUEST = 400
 _CONTENT_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
@@ -55,6 +57,7 @@
         '_body',
         '_body_bytes',
         '_expects_continue',
+        '_framing_bytes',
         '_head_bytes',
         '_headers',
         '_is_rejected',
@@ -84,6 +87,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._last_feed_bytes = 0
         self._url = b''
         self._expects_continue = False
@@ -99,12 +103,20 @@
         if self.is_in_head:
             self._head_bytes += len(received)
         self._last_feed_bytes = len(received)
+        headers = self._headers
+        is_in_body = self.is_in_body
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(_BAD_REQUEST)
         if self.is_in_head and self._head_bytes > self.limits.head_bytes:
             self._reject(_HEAD_TOO_LARGE)
+        # Each request has a list of its own: this is still the same one.
+        if is_in_body and self.is_in_body and headers is self._headers:
+            body_bytes = self._body_bytes - body_bytes
+            self._framing_bytes += len(received) - body_bytes
+            self._check_framing()
 
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
@@ -112,6 +124,7 @@
         self._body = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._url = b''
         self._expects_continue = False
         self.is_in_head = True
@@ -124,11 +137,13 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a request header.
+        """Collect a request header; trailers are dropped.
 
         :param name: header name.
         :param value: header value.
         """
+        if self.is_in_body:
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name == b'expect' and value.lower() == b'100-continue':
@@ -172,6 +187,12 @@
             ),
         )
 
+    def _check_framing(self) -> None:
+        # Chunk sizes with extensions, and trailers, without end.
+        max_bytes = self.limits.head_bytes + _FRAMING_FACTOR * self._body_bytes
+        if self._framing_bytes > max_bytes:
+            self._reject(_BAD_REQUEST)
+
     def _exceeds_head_limit(self, headers: list[tuple[bytes, bytes]]) -> bool:
         # The bytes received since the request began are an upper bound of the
         # header size; the exact sum is computed only above the limit.
--- a/tests/adapters/test_http_exchange.py
+++ b/tests/adapters/test_http_exchange.py
@@ -114,6 +114,14 @@
             with self.subTest(name=name):
                 self._require_bounds(name, _pieces(prefix, endless))
 
+    def test_trailers_are_dropped(self) -> None:
+        """Trailers do not become headers of the response."""
+        outcomes: list[HttpOutcome] = []
+        exchange = Exchange(Request('GET', '/', ()), outcomes.append)
+        exchange.feed(_CHUNKED + b'1\r\nx\r\n0\r\nid: 3\r\n\r\n')
+        self.assertIsInstance(outcomes[0], Answer)
+        self.assertNotIn((b'id', b'3'), outcomes[0].headers)
+
     def test_streamed_body(self) -> None:
         """A streamed body of any length is passed on."""
         listener = CountingListener()
--- a/tests/adapters/test_request_reader.py
+++ b/tests/adapters/test_request_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
 from hypothesis import HealthCheck, given, settings
@@ -106,6 +107,39 @@
                 self.assertEqual(callbacks.rejected[:1], [status])
                 self.assertEqual(callbacks.requests, [])
 
+    def test_trailers_are_dropped(self) -> None:
+        """Trailers do not replace headers of the request."""
+        head = b'POST / HTTP/1.1\r\nkey: a\r\nTransfer-Encoding: chunked\r\n'
+        parsed = _parse(head, b'\r\n1\r\nx\r\n0\r\nkey: b\r\n\r\n')
+        headers = parsed.requests[0].headers
+        self.assertIn((b'key', b'a'), headers)
+        self.assertNotIn((b'key', b'b'), headers)
+
+    def test_pipelined_bodies(self) -> None:
+        """Bodies that end and begin in one piece count as what they are."""
+        post = b'POST / HTTP/1.1\r\nContent-Length: 40\r\n\r\n' + b'x' * 40
+        length = len(post)
+        parsed = _parse(
+            post[:-10], *itertools.repeat(post[-10:] + post[:-10], 30)
+        )
+        self.assertFalse(parsed.rejected)
+        self.assertEqual(len(parsed.requests), 30)
+        self.assertGreater(30 * length, 2 * _LIMITS.head_bytes)
+
+    def test_endless_framing(self) -> None:
+        """Bytes of a body without end that are no body are refused."""
+        chunked = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        cases = (
+            ('extension', chunked + b'5;', b'x' * 100),
+            ('trailers', chunked + b'0\r\n', b'a: b\r\n' * 20),
+            ('trailer', chunked + b'0\r\na: ', b'x' * 100),
+        )
+        for name, prefix, endless in cases:
+            with self.subTest(name=name):
+                parsed = _parse(prefix, *itertools.repeat(endless, 20))
+                self.assertTrue(parsed.rejected)
+                self.assertFalse(parsed.requests)
+
     def test_expect_continue(self) -> None:
         """``Expect: 100-continue`` triggers one continue callback."""
         callbacks = _parse(
