Run the sources of the checkout in the processes of a test fleet

Cause: standins/fleet.py replaced PYTHONPATH by the checkout's root, so that its processes imported figlane from the checkout of the environment: in a second checkout the tests ran other sources than it holds.

Change: the checkout's src/ comes first, and what PYTHONPATH had before is kept.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -121,7 +121,7 @@
                 stdout=subprocess.PIPE,
                 stderr=log,
                 text=True,
-                env={**os.environ, 'PYTHONPATH': _repository_path()},
+                env={**os.environ, 'PYTHONPATH': _python_path()},
             )
         assert popen.stdout is not None
         line = popen.stdout.readline()
@@ -259,5 +259,9 @@
         time.sleep(0.02)
 
 
-def _repository_path() -> str:
-    return str(Path(__file__).parent.parent)
+def _python_path() -> str:
+    # The sources of this checkout go before those of the environment, which may
+    # belong to another one.
+    root = Path(__file__).parent.parent
+    paths = [str(root / 'src'), str(root), os.environ.get('PYTHONPATH', '')]
+    return os.pathsep.join(filter(None, paths))
