Keep following the store where it turns watchers away

Cause: with one watcher in each failure domain, a store that turns just these away, or is silent to them, hid changes from the whole fleet: from three domains that is likely. The standby only looked at whether the watcher answers.

Change: below five failure domains, both watchers of each follow the store. A watcher says in its status that the store does not answer it, and the standby follows the store meanwhile.

At full size the store calls do not change; fleets of few domains pay for two watchers in each again.

--- a/src/figlane/entities/configuration_messages.py
+++ b/src/figlane/entities/configuration_messages.py
@@ -57,13 +57,15 @@
     ``asked_at`` echoes the question's. ``age`` is the time in seconds since the
     sender's configuration was last known to be current. ``is_same`` is True if
     the checksums are equal; only if they differ, ``version_by_name`` (keys
-    ``kind/name``) is filled.
+    ``kind/name``) is filled. ``is_store_unreachable`` is set if the store has
+    not answered the sender's latest requests.
     """
 
     asked_at: float
     age: float
     is_same: bool
     version_by_name: dict[str, int] = field(default_factory=dict)
+    is_store_unreachable: bool = False
 
 
 @dataclass(slots=True)
--- a/src/figlane/entities/feed.py
+++ b/src/figlane/entities/feed.py
@@ -57,7 +57,7 @@
     ``requested_version`` is the version of the whole configuration that was
     requested from a peer at ``requested_at``. ``asked_id`` is the peer of the
     latest question that went to only one, and ``silent_id`` the last such peer
-    that left one unanswered and has answered none since. The process was
+    that left one unanswered, or that does not reach the store. The process was
     last resumed from a pause at ``resumed_at``; until ``confirm_by``, calls
     wait for the confirmation that ``version_at_pause`` is still in force.
     """
--- a/src/figlane/systems/configuration/exchange.py
+++ b/src/figlane/systems/configuration/exchange.py
@@ -32,6 +32,7 @@
 from figlane.systems.configuration.watching import (
     follow_store,
     is_in_charge,
+    is_store_unreachable,
     lacks_answers,
 )
 from figlane.systems.links.messages import send_message
@@ -159,6 +160,7 @@
             now - get_feed(world).current_at,
             is_same,
             {} if is_same else version_by_name(world),
+            is_store_unreachable(world),
         ),
     )
 
@@ -198,7 +200,11 @@
     exchange = world.configuration_exchange
     exchange.answered_at = max(exchange.answered_at, status.asked_at)
     exchange.misses = 0
-    if exchange.silent_id == row.sender:
+    if status.is_store_unreachable and row.sender in watcher_ids(world):
+        exchange.silent_id = row.sender
+        if is_in_charge(world):
+            follow_store(world, now)
+    elif exchange.silent_id == row.sender:
         exchange.silent_id = ''
     if not status.is_same:
         missing = _synchronise(world, row.sender, status.version_by_name)
--- a/src/figlane/systems/configuration/kind_feeds.py
+++ b/src/figlane/systems/configuration/kind_feeds.py
@@ -1,7 +1,7 @@
 """Schedules this node's reads and watches of each kind of object.
 
-One watcher in each failure domain watches the store, and a standby while that
-one is silent; they tell other nodes of changes, and all nodes compare versions
+Watchers in each failure domain watch the store, and a standby while the first
+is silent; they tell other nodes of changes, and all nodes compare versions
 each second. A node reads and watches by itself while peers do not answer, and
 at its start if none of them has sent it the objects.
 """
--- a/src/figlane/systems/configuration/watching.py
+++ b/src/figlane/systems/configuration/watching.py
@@ -11,14 +11,18 @@
 
 # Number of missed answers of peers after which a node asks the store by itself.
 _MAX_MISSES = 2
+# Number of failure domains from which on one watcher in each is enough.
+_MIN_DOMAINS = 5
 
 
 def is_in_charge(world: World) -> bool:
     """Check whether this node watches the store for its failure domain.
 
     The first of the domain's watchers does, and the others while it leaves
-    their questions unanswered. In a fleet of a single failure domain all of
-    them do, since no watcher of another domain passes changes on.
+    their questions unanswered or does not reach the store. In a fleet of few
+    failure domains all of them do: a store that is silent towards a watcher
+    looks like one without changes, so that the watchers of other domains have
+    to pass changes on.
 
     :param world: the tables.
     :return: whether it does.
@@ -32,7 +36,17 @@
         world.configuration_exchange.silent_id,
     }:
         return True
-    return live_ids_by_domain(world).keys() <= {world.identity.failure_domain}
+    domains = {world.identity.failure_domain, *live_ids_by_domain(world)}
+    return len(domains) < _MIN_DOMAINS
+
+
+def is_store_unreachable(world: World) -> bool:
+    """Check whether the store has not answered this node's latest requests.
+
+    :param world: the tables.
+    :return: False also if this node has not asked.
+    """
+    return any(feed.failures for feed in world.kind_feeds)
 
 
 def lacks_answers(world: World) -> bool:
--- a/src/figlane/systems/membership/contacts.py
+++ b/src/figlane/systems/membership/contacts.py
@@ -1,7 +1,7 @@
 """Finds other members by a bounded number of contacts in the store.
 
 Each failure domain has a fixed number of slots. A slot's object names one
-member. A node that starts reads the slots, asks some of the contacts for the
+member. A node that starts reads the slots, asks contacts for the
 member list and from then on learns of members by gossip alone. Only if none of
 them answers does it take a slot itself, by a conditional write; a write that
 comes too late returns the contact that took the slot. So the calls to the store
