Introduce a joining node to the contacts without a walk over all members

Cause: a contact that is asked by a node that it does not know walked over all live members to find the other contacts.

Change: it looks the contacts up.

Result: tests.systems.membership passes.

--- a/src/figlane/systems/membership/lists.py
+++ b/src/figlane/systems/membership/lists.py
@@ -35,6 +35,7 @@
 _EARLY_SECONDS = 8.0
 # Probability of asking any member then: all contacts may lack a member.
 _ANY_PEER_PROBABILITY = 0.2
+_LIVE_PHASES = (MemberPhase.ALIVE, MemberPhase.SUSPECT)
 # Hashes of a member's id and of its state in the summary of a member list.
 _SUMMARY = struct.Struct('>II')
 # Member states in one message.
@@ -158,11 +159,12 @@
     is_known = state.record.id in world.members
     if is_known or world.identity.node_id not in contact_ids:
         return
-    for member in live_members(world):
-        if member.id in contact_ids:
-            send_message(
-                world, member.id, MembersResponse([state], is_news=True)
-            )
+    introduction = MembersResponse([state], is_news=True)
+    for contact_id in sorted(contact_ids):
+        member = world.members.get(contact_id)
+        is_other = contact_id != world.identity.node_id
+        if is_other and member is not None and member.phase in _LIVE_PHASES:
+            send_message(world, contact_id, introduction)
 
 
 def _contact_ids(world: World) -> set[str]:
