Do not count a comparison of checksums as a received member list

Cause: since requests have a summary, a request without one, or to a peer that has been restarted, only compares checksums. The node recorded that it had all changes of the peer nevertheless, so that later requests asked for later changes only, and what differed at that time never came from that peer. Found by reading the change.

Change: the answer to such a request names no change number if the lists differ, and the node forgets what it knew of the peer, so that its next request has a summary.

Result: test_differences_after_a_comparison fails before in both cases and passes.

--- a/src/figlane/entities/gossip.py
+++ b/src/figlane/entities/gossip.py
@@ -71,7 +71,8 @@
 
     ``is_news`` is set if other members may not know the states yet. The batch
     with ``is_last`` completes the changes up to ``change``, a change number of
-    the peer's ``epoch``. ``is_same`` is set if the checksums were equal.
+    the peer's ``epoch``; both are 0 if the request only compared the checksums
+    and they differ. ``is_same`` is set if the checksums were equal.
     """
 
     states: list[MemberState]
--- a/src/figlane/systems/membership/lists.py
+++ b/src/figlane/systems/membership/lists.py
@@ -142,13 +142,10 @@
         batch = MembersResponse(states[:_BATCH_SIZE])
         send_message(world, row.sender, batch)
         states = states[_BATCH_SIZE:]
-    last = MembersResponse(
-        states,
-        is_last=True,
-        is_same=is_same,
-        change=gossip.last_change,
-        epoch=own_epoch,
-    )
+    last = MembersResponse(states, is_last=True, is_same=is_same)
+    if is_same or since or request.summary:
+        last.change = gossip.last_change
+        last.epoch = own_epoch
     send_message(world, row.sender, last)
 
 
@@ -217,7 +214,9 @@
         return
     world.gossip.is_settled = answer.is_same
     known = world.gossip.known_change_by_peer
-    known[row.sender] = (answer.epoch, answer.change)
+    known.pop(row.sender, None)
+    if answer.epoch:
+        known[row.sender] = (answer.epoch, answer.change)
     if not answer.is_same:
         retry_at = now + jittered(world, _EARLY_INTERVAL_SECONDS)
         bring_forward(world, _ROUTINE, retry_at)
--- a/tests/systems/membership/test_lists.py
+++ b/tests/systems/membership/test_lists.py
@@ -12,6 +12,7 @@
 from figlane.entities.outbox import SendToPeer
 from figlane.entities.world import Identity, World
 from figlane.systems.membership.lists import ask_for_members
+from figlane.systems.membership.states import record_change
 from figlane.systems.tick import run_tick
 from figlane.wire.peer import encode
 
@@ -57,6 +58,35 @@
         self.assertFalse(states)
         self.assertLessEqual(len(encode('n0', request)), _REQUEST_BYTES)
 
+    def test_differences_after_a_comparison(self) -> None:
+        """A comparison of checksums alone does not hide what differs.
+
+        The next request to the same peer has a summary, also if the peer has
+        been restarted since it was asked last.
+        """
+        self.asked.members.by_id['n7'].incarnation = 2
+        record_change(self.asked, 'n7')
+        for known in ({}, {'n1': (99, 5)}):
+            with self.subTest(known=known):
+                self.asking = _world('n0')
+                self.asked.outbox.clear()
+                self.asking.gossip.is_settled = not known
+                self.asking.gossip.known_change_by_peer.update(known)
+                _, states = self._exchange()
+                self.assertFalse(states)
+                self._answer()
+                _, states = self._exchange()
+                self.assertIn('n7', states)
+
+    def _answer(self) -> None:
+        self.asking.inbox += [
+            PeerMessage('n1', response)
+            for response in _sent(self.asked, MembersResponse)
+        ]
+        run_tick(self.asking, 100)
+        self.asking.outbox.clear()
+        self.asked.outbox.clear()
+
     def _exchange(self) -> tuple[MembersRequest, set[str]]:
         ask_for_members(self.asking, 'n1')
         request = _sent(self.asking, MembersRequest)[0]
