--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -59,6 +59,10 @@
                 outcome = await call
                 self.assertIsInstance(outcome, RevisionMismatch)
                 self.assertEqual(outcome.revision, expected)
+                revision_of_current = 0
+                if outcome.current is not None:
+                    revision_of_current = outcome.current.metadata.revision
+                self.assertEqual(revision_of_current, expected)
         deleted = await self.client.delete('k', 'a', revision - 1)
         self.assertIsInstance(deleted, RevisionMismatch)
         self.assertIsNone(await self.client.delete('k', 'a', revision))
