--- a/src/figlane/entities/ingress.py
+++ b/src/figlane/entities/ingress.py
@@ -66,7 +66,8 @@
 class ConfigurationReplaced:
     """A complete configuration snapshot; rows missing from it are deleted.
 
-    ``is_news`` is set if peers may not have the version yet.
+    ``is_news`` is set if peers may not have the version yet. ``source`` is the
+    peer that sent it, empty if it came from the store.
     """
 
     version: int
@@ -75,6 +76,7 @@
     routes: tuple[IngressRoute, ...]
     limits: CallerLimits
     is_news: bool = False
+    source: str = ''
 
 
 @dataclass(slots=True)
--- a/src/figlane/entities/kind_feed.py
+++ b/src/figlane/entities/kind_feed.py
@@ -29,7 +29,8 @@
     ``pause`` is the time in seconds between an answer and the next watch.
     ``revision`` is the revision from which the next watch continues.
     ``failures`` counts the requests that failed since the last answer.
-    ``answered_at`` is the time of the store's last answer for this kind.
+    ``answered_at`` is the time of the store's last answer for this kind, and
+    ``asked_at`` that of the last request.
     Nothing is requested before ``first_at``. Until ``alone_at``, a node that is
     not a watcher waits for a peer to send the objects. ``is_followed`` is set
     while this node follows the kind in the store by itself.
@@ -43,6 +44,7 @@
     revision: int = 0
     failures: int = 0
     answered_at: float = -NEVER
+    asked_at: float = -NEVER
     phase: KindFeedPhase = KindFeedPhase.UNREAD
     due: float = NEVER
 
--- a/src/figlane/systems/configuration/ingress.py
+++ b/src/figlane/systems/configuration/ingress.py
@@ -17,6 +17,7 @@
 from figlane.entities.table import Table
 from figlane.entities.world import World
 from figlane.systems.configuration.pushing import announce_configuration
+from figlane.systems.configuration.watching import open_request_seconds
 from figlane.systems.registry import (
     configuration_observers,
     inbox_handlers,
@@ -65,6 +66,8 @@
                 'routes': len(row.routes),
                 'organisations': len(row.organisations),
                 'is_news': row.is_news,
+                'source': row.source,
+                'store_request_seconds': open_request_seconds(world, now),
             },
         ),
     )
@@ -90,6 +93,7 @@
     """
     pushed: ConfigurationReplaced = row.message.configuration
     pushed.is_news = True
+    pushed.source = row.sender
     world.inbox.append(pushed)
 
 
--- a/src/figlane/systems/configuration/kind_feeds.py
+++ b/src/figlane/systems/configuration/kind_feeds.py
@@ -93,6 +93,7 @@
     if not feed.is_followed:
         feed.is_followed = True
         _log_following(world, feed)
+    feed.asked_at = now
     is_old = now - feed.answered_at > _MAX_REVISION_AGE_SECONDS
     if feed.phase is KindFeedPhase.UNREAD or is_old:
         world.kind_feeds.move(feed, KindFeedPhase.READING)
@@ -175,6 +176,19 @@
     was_reading = feed.phase is KindFeedPhase.READING
     needs_read = was_reading or row.is_history_lost
     feed.failures += 1
+    world.outbox.append(
+        LogDecision(
+            'store_request_failed',
+            {
+                'kind': row.kind,
+                'phase': feed.phase.value,
+                'reason': row.reason,
+                'seconds': round(now - feed.asked_at, 3),
+                'failures': feed.failures,
+                'revision': feed.revision,
+            },
+        )
+    )
     delay = _INITIAL_RETRY_SECONDS * 2 ** min(feed.failures - 1, _MAX_DOUBLINGS)
     if row.is_history_lost and feed.failures == 1:
         delay = 0
--- a/src/figlane/systems/configuration/watching.py
+++ b/src/figlane/systems/configuration/watching.py
@@ -49,6 +49,23 @@
     return any(feed.failures for feed in world.kind_feeds)
 
 
+def open_request_seconds(world: World, now: float) -> float:
+    """Compute how long the oldest open request to the store has been open.
+
+    :param world: the tables.
+    :param now: the present time in seconds.
+    :return: seconds, 0 if no request is open.
+    """
+    return max(
+        (
+            round(now - feed.asked_at, 3)
+            for phase in (KindFeedPhase.READING, KindFeedPhase.WATCHING)
+            for feed in world.kind_feeds.in_phase(phase)
+        ),
+        default=0,
+    )
+
+
 def review_feeds(world: World, now: float) -> None:
     """Let this node start to follow the store at once if it has to.
 
