Log when a node takes its backend server for cold, and failed connections

A node's lines did not tell what it believed of a server's cold start between two announcements: neither when the state changed and by whose word, nor whether it knew the rate of the service, nor that connections failed in between. backend_server_cold and backend_connection_failed say so, and the counter backend.cold-call counts the calls started on a cold server.

--- a/src/figlane/systems/admission/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -11,6 +11,7 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
+from figlane.systems.admission.cold_rate import set_cold_until
 from figlane.systems.admission.cold_start import restart_ramp
 from figlane.systems.admission.concurrency_limit import concurrency_limit
 from figlane.systems.admission.latency import running_backend
@@ -57,7 +58,8 @@
         backend = _replace_backend(world, row, now)
     backend.sequence = NEVER if row.is_leaving else row.sequence
     backend.announced_at = now
-    backend.cold_until = now + row.cold_seconds
+    cold_until = now + row.cold_seconds
+    set_cold_until(world, backend, cold_until, now, 'announcement')
     timeout = max(ANNOUNCEMENT_TIMEOUT_SECONDS, _TIMEOUT_PERIODS * row.period)
     world.backend_servers.schedule(backend, now + timeout)
     needs_confirmation = not is_known and row.sequence > _FIRST_SEQUENCE
@@ -212,6 +214,7 @@
     if outcome.kind is not ErrorKind.NO_BACKEND_SERVER:
         return
     backend.refused_count += 1
+    _log_connection_failure(world, backend, outcome)
     if backend.refused_count < _MAX_REFUSED_CONNECTIONS:
         return
     backend.refused_count = 0
@@ -221,6 +224,20 @@
         _change_phase(world, backend, BackendServerPhase.GONE)
 
 
+def _log_connection_failure(
+    world: World, backend: BackendServer, failure: Refusal
+) -> None:
+    inputs = {
+        'backend_server': backend.id,
+        'reason': failure.detail,
+        'consecutive': backend.refused_count,
+        'born': backend.born,
+        'sequence': backend.sequence,
+        'announced_at': backend.announced_at,
+    }
+    world.outbox.append(LogDecision('backend_connection_failed', inputs))
+
+
 def _change_phase(
     world: World,
     backend: BackendServer,
--- a/src/figlane/systems/admission/cold_rate.py
+++ b/src/figlane/systems/admission/cold_rate.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from figlane.entities.backend_server import BackendServer
+from figlane.entities.outbox import LogDecision
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 
@@ -38,6 +39,7 @@
     if backend.cold_tokens < 1:
         return False
     backend.cold_tokens -= 1
+    world.counters['backend.cold-call'] += 1
     return True
 
 
@@ -56,6 +58,39 @@
     return now + (1 - backend.cold_tokens) / rate
 
 
+def set_cold_until(
+    world: World,
+    backend: BackendServer,
+    cold_until: float,
+    now: float,
+    source: str,
+) -> None:
+    """Set the end of the cold start, and log it if the state changes by that.
+
+    :param world: the tables.
+    :param backend: the backend server.
+    :param cold_until: the time in seconds, ``NEVER`` if it is unknown.
+    :param now: the present time in seconds.
+    :param source: what tells the state, for the log.
+    """
+    was_cold = now < backend.cold_until
+    backend.cold_until = cold_until
+    if was_cold is (now < cold_until):
+        return
+    service = world.services.get(backend.service_id)
+    inputs = {
+        'backend_server': backend.id,
+        'service': backend.service_id,
+        'is_cold': not was_cold,
+        'source': source,
+        'cold_seconds': None if cold_until == NEVER else cold_until - now,
+        'sequence': backend.sequence,
+        'cold_rate': None if service is None else service.cold_rate,
+        'configuration': world.ingress.version,
+    }
+    world.outbox.append(LogDecision('backend_server_cold', inputs))
+
+
 def _rate(world: World, backend: BackendServer) -> float:
     service = world.services.get(backend.service_id)
     return NEVER if service is None else service.cold_rate * _RATE_FRACTION
--- a/src/figlane/systems/configuration/versions.py
+++ b/src/figlane/systems/configuration/versions.py
@@ -221,7 +221,7 @@
             ),
         )
     if was_taken_out and not is_out:
-        start_weight_ramp(world, row.name)
+        start_weight_ramp(world, row.name, now)
     return True
 
 
--- a/src/figlane/systems/membership/domains.py
+++ b/src/figlane/systems/membership/domains.py
@@ -7,6 +7,7 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
+from figlane.systems.admission.cold_rate import set_cold_until
 from figlane.systems.admission.execution import end_execution
 from figlane.systems.registry import Stage, routines, system
 from figlane.systems.scheduling import bring_forward
@@ -47,26 +48,27 @@
         end_execution(world, execution, Refusal(ErrorKind.DRAINING), now)
 
 
-def start_weight_ramp(world: World, domain_id: str) -> None:
+def start_weight_ramp(world: World, domain_id: str, now: float) -> None:
     """Start the ramp of a returned domain's members at ``INITIAL_WEIGHT``.
 
     :param world: the tables.
     :param domain_id: a domain that was out of service.
+    :param now: the present time in seconds.
     """
     for member in world.members:
         if member.failure_domain == domain_id:
             member.weight = INITIAL_WEIGHT
     if domain_id == world.identity.failure_domain:
-        _assume_cold(world)
+        _assume_cold(world, now)
     bring_forward(world, RAMP_ROUTINE, 0)
 
 
-def _assume_cold(world: World) -> None:
+def _assume_cold(world: World, now: float) -> None:
     # A backend server that got no calls for a while may have gone cold since
     # its last announcement, so it counts as cold until the next one.
     for backend in world.backend_servers:
         if backend.born:
-            backend.cold_until = NEVER
+            set_cold_until(world, backend, NEVER, now, 'domain returned')
 
 
 @routines.register(RAMP_ROUTINE)
--- a/src/figlane/telemetry/names.py
+++ b/src/figlane/telemetry/names.py
@@ -46,6 +46,9 @@
     _counter(
         'backend.announced', 'announcements received from the backend server'
     ),
+    _counter(
+        'backend.cold-call', 'calls started on a backend server in cold start'
+    ),
     _counter(
         'backend.outdated-announcement',
         'late announcements of an earlier start',
--- a/tests/systems/admission/test_cold_rate.py
+++ b/tests/systems/admission/test_cold_rate.py
@@ -91,7 +91,7 @@
         world, backend = _world()
         backend.born = 1
         world.failure_domains.insert(FailureDomain('a', 2))
-        start_weight_ramp(world, 'a')
+        start_weight_ramp(world, 'a', 49)
         self.assertGreater(backend.cold_until, 1e9)
         for sequence, cold_seconds in ((1, 2.0), (2, 0)):
             world.inbox.append(
