Show that a silent store hides later changes from all nodes

CONFIG, 737 requests, with the users' words: "handled by version 7 or older; version 10 was acked more than 2000 ms before".

The store had taken requests without an answer from 4.15 to 7.15 s. All watchers had opened their next watch within that time, just after a change. No logic changes.

--- a/tests/systems/configuration/test_watching.py
+++ b/tests/systems/configuration/test_watching.py
@@ -98,6 +98,35 @@
         ]
         self._require_change()
 
+    def test_change_after_silent_store(self) -> None:
+        """A silent store does not hide changes made after it answers again.
+
+        Watches that were opened while it was silent are never answered.
+        """
+        for domains in (_DOMAINS, _MANY_DOMAINS):
+            with self.subTest(domains=len(domains)):
+                self.model = _rested_fleet(domains)
+                self.model.configure()
+                self.model.run(0.1)
+                self.model.unanswered = set(self.model.worlds)
+                self.model.run(3)
+                self.model.unanswered.clear()
+                self.model.run(1)
+                self._require_change()
+
+    def test_change_while_store_silent_to_watchers(self) -> None:
+        """A store that is silent to all watchers hides no change.
+
+        The other nodes reach it, and have no other impairment.
+        """
+        for domains in (_DOMAINS, _MANY_DOMAINS):
+            with self.subTest(domains=len(domains)):
+                self.model = _rested_fleet(domains)
+                for world in self.model.worlds.values():
+                    self.model.unanswered.update(watcher_ids(world))
+                self.model.run(0.5)
+                self._require_change()
+
     def test_standby(self) -> None:
         """Of many failure domains, one is cut off from its watcher and all."""
         self.model = _rested_fleet(_MANY_DOMAINS)
--- a/tests/systems/fleet_model.py
+++ b/tests/systems/fleet_model.py
@@ -43,6 +43,9 @@
 _CALL_PRICE = 1.0
 _STALE_PRICE = 0.1
 _STALE_SECONDS = 2.0
+# Time without an answer after which a client gives up a request; a watch adds
+# its own length.
+_TIMEOUT_SECONDS = 1.5
 
 
 @dataclass(slots=True)
@@ -56,12 +59,22 @@
 
 @dataclass(slots=True)
 class PendingWatch:
-    """A watch without an answer so far."""
+    """A watch without an answer so far; ``is_lost`` if none will come."""
 
     node_id: str
     kind: str
     revision: int
     until: float
+    is_lost: bool = False
+
+
+@dataclass(slots=True)
+class LostRequest:
+    """A read or write that the store does not answer."""
+
+    node_id: str
+    row: Any
+    until: float
 
 
 @dataclass(slots=True)
@@ -70,7 +83,9 @@
 
     ``paused`` nodes do not run, ``turned_away`` ones get errors from the store
     and ``cut`` holds pairs of nodes without a path between them, in both
-    orders. ``is_store_down`` makes every call to the store fail. The prices of
+    orders. ``is_store_down`` makes every call to the store fail. To the nodes
+    in ``unanswered`` the store is silent: it takes their requests, and what it
+    would answer meanwhile is lost for good. The prices of
     the calls are counted in ``price_by_node``, messages between nodes in
     ``sent_by_node`` and their bytes in ``bytes_by_node``. ``answers`` holds
     the time of each answer to a caller, and the version in force then.
@@ -89,6 +104,8 @@
     paused: set[str] = field(default_factory=set)
     turned_away: set[str] = field(default_factory=set)
     cut: set[tuple[str, str]] = field(default_factory=set)
+    unanswered: set[str] = field(default_factory=set)
+    lost_requests: list[LostRequest] = field(default_factory=list)
     is_store_down: bool = False
     price_by_node: Counter[str] = field(default_factory=Counter)
     sent_by_node: Counter[str] = field(default_factory=Counter)
@@ -132,6 +149,7 @@
         self.is_first_start = False
         self.in_flight.clear()
         self.watches.clear()
+        self.lost_requests.clear()
         for node_id in tuple(self.worlds):
             self.start(node_id)
 
@@ -216,6 +234,7 @@
         self.now += STEP_SECONDS
         self._deliver_arrived()
         self._answer_watches()
+        self._end_lost_requests()
         for node_id, world in self.worlds.items():
             is_due = world.inbox or world.wake_time() <= self.now
             if is_due and node_id not in self.paused:
@@ -290,16 +309,43 @@
         self.price_by_node[node_id] += _STALE_PRICE if is_stale else _CALL_PRICE
         if self.is_store_down or node_id in self.turned_away:
             self._fail(node_id, row)
-        elif isinstance(row, ReadKind):
-            self._list(node_id, row)
         elif isinstance(row, WatchKind):
-            until = self.now + row.seconds
-            self.watches.append(
-                PendingWatch(node_id, row.kind, row.revision, until)
-            )
+            self._begin_watch(node_id, row)
+        elif node_id in self.unanswered:
+            until = self.now + _TIMEOUT_SECONDS
+            self.lost_requests.append(LostRequest(node_id, row, until))
+        else:
+            self._answer(node_id, row)
+
+    def _answer(self, node_id: str, row: ReadKind | WriteObject) -> None:
+        if isinstance(row, ReadKind):
+            self._list(node_id, row)
         else:
             self._write_if(node_id, row)
 
+    def _begin_watch(self, node_id: str, row: WatchKind) -> None:
+        # A later watch of the same kind takes the place of an abandoned one.
+        self.watches = [
+            watch
+            for watch in self.watches
+            if (watch.node_id, watch.kind) != (node_id, row.kind)
+        ]
+        self.watches.append(
+            PendingWatch(
+                node_id,
+                row.kind,
+                row.revision,
+                self.now + row.seconds,
+                is_lost=node_id in self.unanswered,
+            )
+        )
+
+    def _end_lost_requests(self) -> None:
+        ended = [row for row in self.lost_requests if row.until <= self.now]
+        for lost in ended:
+            self.lost_requests.remove(lost)
+            self._fail(lost.node_id, lost.row)
+
     def _fail(self, node_id: str, row: Any) -> None:
         if isinstance(row, WriteObject):
             failed = ObjectWritten(
@@ -366,9 +412,16 @@
             watch for watch in self.watches if not self._answer_watch(watch)
         ]
 
-    def _answer_watch(self, watch: PendingWatch) -> bool:
+    def _watch_failure(self, watch: PendingWatch) -> str:
         if self.is_store_down or watch.node_id in self.turned_away:
-            failed = KindFailed(watch.kind, 'down')
+            return 'down'
+        is_over = self.now >= watch.until + _TIMEOUT_SECONDS
+        return 'timeout' if watch.is_lost and is_over else ''
+
+    def _answer_watch(self, watch: PendingWatch) -> bool:
+        reason = self._watch_failure(watch)
+        if reason:
+            failed = KindFailed(watch.kind, reason)
             self.in_flight.append((watch.node_id, failed))
             return True
         changed = [
@@ -376,7 +429,10 @@
             for (kind, name), stored in self.objects.items()
             if kind == watch.kind and stored.version > 2 * watch.revision
         ]
-        if not changed and self.now < watch.until:
+        if watch.is_lost or (not changed and self.now < watch.until):
+            return False
+        if watch.node_id in self.unanswered:
+            watch.is_lost = True
             return False
         for name in changed:
             self._deliver(watch.node_id, watch.kind, name, is_news=True)
