Find a store that takes requests and does not answer

Cause: a watch that will never be answered cannot be told from one without changes for 29.5 s. While the store is silent, watches are opened or their answers are lost; if that happens to all watchers, no node learns of a change, and comparisons between nodes only find that they agree.

Change: the first watcher of a failure domain checks the store by a stale read one second after its last answer. Without an answer it gives up its open watches, reads everything as soon as a check is answered, and asks four other nodes of its failure domain to follow the store meanwhile. A read or watch now ends the open watch of its kind, so that a late answer starts no second one.

--- a/src/figlane/entities/configuration_messages.py
+++ b/src/figlane/entities/configuration_messages.py
@@ -68,6 +68,11 @@
     is_store_unreachable: bool = False
 
 
+@dataclass(slots=True)
+class StoreSilence:
+    """Asks a peer to follow the store; the sender gets no answers from it."""
+
+
 @dataclass(slots=True)
 class ObjectRequest:
     """Requests objects from a peer by ``kind/name``."""
--- a/src/figlane/entities/kind_feed.py
+++ b/src/figlane/entities/kind_feed.py
@@ -49,6 +49,41 @@
     due: float = NEVER
 
 
+@dataclass(slots=True)
+class StoreCheck:
+    """State of this node's checks whether the store answers it.
+
+    ``asked_at`` is the time of the latest check and ``answered_at`` that of
+    the latest one that was answered. ``is_silent`` is set from the first check
+    without an answer until the next answer. Until ``deputy_until``, this node
+    follows the store in place of a watcher that gets no answers.
+    """
+
+    asked_at: float = -NEVER
+    answered_at: float = -NEVER
+    is_silent: bool = False
+    deputy_until: float = -NEVER
+
+
+@dataclass(slots=True)
+class CheckStore:
+    """Outbox row: makes the cheapest request that the store answers at once.
+
+    ``asked_at`` identifies the check, and ``seconds`` is its time-out.
+    """
+
+    asked_at: float
+    seconds: float
+
+
+@dataclass(slots=True)
+class StoreChecked:
+    """Inbox row: the store has answered a check, or not in time."""
+
+    asked_at: float
+    is_answered: bool
+
+
 @dataclass(slots=True)
 class FollowKinds:
     """Inbox row: starts the feeds of these kinds.
--- a/src/figlane/entities/member_index.py
+++ b/src/figlane/entities/member_index.py
@@ -26,11 +26,11 @@
 
     It is valid for ``revision``, the revision of the table of members from
     which it was built. ``ids_by_domain`` holds their ids by failure domain, and
-    ``watcher_ids`` the watchers of this node's own failure domain, once they
-    have been asked for.
+    ``ranked_ids`` those of this node's own failure domain that watch the store
+    or would take over, in this order, once they have been asked for.
     """
 
     revision: int = -1
     members: tuple[Member, ...] = ()
     ids_by_domain: dict[str, list[str]] = field(default_factory=dict)
-    watcher_ids: tuple[str, ...] = ()
+    ranked_ids: tuple[str, ...] = ()
--- a/src/figlane/entities/world.py
+++ b/src/figlane/entities/world.py
@@ -14,7 +14,7 @@
 from figlane.entities.flow import Flow
 from figlane.entities.gossip import Gossip, OpenProbe
 from figlane.entities.ingress import Ingress, IngressRoute
-from figlane.entities.kind_feed import KindFeed
+from figlane.entities.kind_feed import KindFeed, StoreCheck
 from figlane.entities.latencies import Latencies
 from figlane.entities.ledger import Ledger
 from figlane.entities.link import Link
@@ -126,6 +126,7 @@
         default_factory=ConfigurationExchange
     )
     kind_feeds: Table[KindFeed] = field(default_factory=Table)
+    store_check: StoreCheck = field(default_factory=StoreCheck)
     routines: Table[Routine] = field(default_factory=Table)
     probes: Table[OpenProbe] = field(default_factory=Table)
     node_drains: Table[NodeDrain] = field(default_factory=Table)
--- a/src/figlane/platform/feed.py
+++ b/src/figlane/platform/feed.py
@@ -13,10 +13,12 @@
 from figlane.entities.inbox import ObjectChanged, ObjectWritten, WriteStatus
 from figlane.entities.ingress import ConfigurationReplaced
 from figlane.entities.kind_feed import (
+    CheckStore,
     KindFailed,
     KindListed,
     KindWatched,
     ReadKind,
+    StoreChecked,
     WatchKind,
 )
 from figlane.entities.member import CONTACT_KIND
@@ -65,7 +67,14 @@
 class StoreFeed:
     """Delivers objects of the store, and results of writes, as inbox rows."""
 
-    __slots__ = ('_deliver', '_is_reachable', '_loop', '_store', '_tasks')
+    __slots__ = (
+        '_deliver',
+        '_is_reachable',
+        '_loop',
+        '_store',
+        '_tasks',
+        '_watch_by_kind',
+    )
 
     def __init__(
         self,
@@ -85,20 +94,30 @@
         self._deliver = deliver
         self._is_reachable = True
         self._tasks: set[asyncio.Task[None]] = set()
+        self._watch_by_kind: dict[str, asyncio.Task[None]] = {}
 
     def read(self, row: ReadKind) -> None:
-        """Start reading all objects of a kind.
+        """Start reading all objects of a kind; an open watch of it ends.
 
         :param row: the kind.
         """
+        self._end_watch(row.kind)
         self._spawn(self._read(row))
 
     def watch(self, row: WatchKind) -> None:
-        """Start a watch for changes of a kind.
+        """Start a watch for changes of a kind; an open one of it ends.
 
         :param row: the kind, the revision to start from and the timeout.
         """
-        self._spawn(self._watch(row))
+        self._end_watch(row.kind)
+        self._watch_by_kind[row.kind] = self._spawn(self._watch(row))
+
+    def check(self, row: CheckStore) -> None:
+        """Start a stale read of a kind of which there are few objects.
+
+        :param row: identifies the check and gives its time-out.
+        """
+        self._spawn(self._check(row))
 
     def write(self, row: WriteObject) -> None:
         """Start writing or deleting an object.
@@ -113,6 +132,20 @@
         for task in tuple(self._tasks):
             task.cancel()
 
+    def _end_watch(self, kind: str) -> None:
+        watch = self._watch_by_kind.pop(kind, None)
+        if watch is not None:
+            watch.cancel()
+
+    async def _check(self, row: CheckStore) -> None:
+        page = await self._store.list_page(
+            _STORE_KIND_BY_KIND[DOMAIN_KIND],
+            allow_stale=True,
+            timeout_seconds=row.seconds,
+        )
+        is_answered = not isinstance(page, Unavailable)
+        self._deliver(StoreChecked(row.asked_at, is_answered))
+
     async def _read(self, row: ReadKind) -> None:
         store_kind = _STORE_KIND_BY_KIND[row.kind]
         names: set[str] = set()
@@ -237,10 +270,13 @@
         self._is_reachable = reachable
         _log.info('store_reachable', reachable=reachable, reason=reason)
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _spawn(
+        self, coroutine: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _parse_object(kind: str, raw: msgspec.Raw) -> StoredObject | None:
--- a/src/figlane/platform/interface.py
+++ b/src/figlane/platform/interface.py
@@ -7,7 +7,7 @@
 from figlane.adapters.ticker import Sink
 from figlane.composition import InterfaceContext
 from figlane.entities.ingress import ApplyCallerLimits
-from figlane.entities.kind_feed import ReadKind, WatchKind
+from figlane.entities.kind_feed import CheckStore, ReadKind, WatchKind
 from figlane.entities.node_drain import (
     DrainRequested,
     NodeDraining,
@@ -112,6 +112,7 @@
             WriteObject: self._feed.write,
             ReadKind: self._feed.read,
             WatchKind: self._feed.watch,
+            CheckStore: self._feed.check,
             NodeDraining: self._begin_closing,
             ApplyCallerLimits: self._apply_limits,
         }
--- a/src/figlane/platform/objects.py
+++ b/src/figlane/platform/objects.py
@@ -119,6 +119,7 @@
         after_name: str = '',
         *,
         allow_stale: bool = False,
+        timeout_seconds: float = _TIMEOUT_SECONDS,
     ) -> Listing | Unavailable:
         """Read one page of the objects of a kind, sorted by name.
 
@@ -126,6 +127,7 @@
         :param after_name: last name of the previous page; empty for the first.
         :param allow_stale: whether the page may be some seconds old, which
             costs the store less.
+        :param timeout_seconds: how long to wait for the answer.
         :return: the page.
         """
         fields = {}
@@ -134,7 +136,11 @@
         if allow_stale:
             fields['allow_stale'] = '1'
         query = f'?{urlencode(fields)}' if fields else ''
-        outcome = await self._send('GET', f'/objects/{kind}{query}')
+        outcome = await self._send(
+            'GET',
+            f'/objects/{kind}{query}',
+            timeout_seconds=timeout_seconds,
+        )
         return _decode_answer(outcome, Listing)
 
     async def watch(
--- a/src/figlane/systems/configuration/exchange.py
+++ b/src/figlane/systems/configuration/exchange.py
@@ -82,7 +82,7 @@
     if not is_answered:
         exchange.misses += 1
         exchange.silent_id = exchange.asked_id or exchange.silent_id
-        if lacks_answers(world) or is_in_charge(world):
+        if lacks_answers(world) or is_in_charge(world, now):
             follow_store(world, now)
     question = ConfigurationQuery(now, checksum(world))
     peers = _choose_peers(world, now)
@@ -209,7 +209,7 @@
     exchange.misses = 0
     if status.is_store_unreachable and row.sender in watcher_ids(world):
         exchange.silent_id = row.sender
-        if is_in_charge(world):
+        if is_in_charge(world, now):
             follow_store(world, now)
     elif exchange.silent_id == row.sender:
         exchange.silent_id = ''
--- a/src/figlane/systems/configuration/kind_feeds.py
+++ b/src/figlane/systems/configuration/kind_feeds.py
@@ -92,7 +92,7 @@
 def _start_request(world: World, feed: KindFeed, now: float) -> None:
     if not feed.is_followed:
         feed.is_followed = True
-        _log_following(world, feed)
+        _log_following(world, feed, now)
     feed.asked_at = now
     is_old = now - feed.answered_at > _MAX_REVISION_AGE_SECONDS
     if feed.phase is KindFeedPhase.UNREAD or is_old:
@@ -104,11 +104,11 @@
         world.outbox.append(watch)
 
 
-def _log_following(world: World, feed: KindFeed) -> None:
+def _log_following(world: World, feed: KindFeed, now: float) -> None:
     exchange = world.configuration_exchange
     inputs = {
         'kind': feed.id,
-        'is_in_charge': is_in_charge(world),
+        'is_in_charge': is_in_charge(world, now),
         'silent_watcher': exchange.silent_id,
         'unanswered': exchange.misses,
         'configuration': world.ingress.version,
@@ -119,9 +119,9 @@
 def _follows(world: World, feed: KindFeed, now: float) -> bool:
     # The objects of all kinds come from peers together with a configuration.
     if now < feed.alone_at:
-        return has_member_list(world) and is_in_charge(world)
+        return has_member_list(world) and is_in_charge(world, now)
     is_missing = not world.ingress.version
-    return is_missing or is_in_charge(world) or lacks_answers(world)
+    return is_missing or is_in_charge(world, now) or lacks_answers(world)
 
 
 @inbox_handlers.register(KindListed)
--- a/src/figlane/systems/configuration/watching.py
+++ b/src/figlane/systems/configuration/watching.py
@@ -15,38 +15,49 @@
 _MIN_DOMAINS = 5
 
 
-def is_in_charge(world: World) -> bool:
+def is_in_charge(world: World, now: float) -> bool:
     """Check whether this node watches the store for its failure domain.
 
     The first of the domain's watchers does, and the others while it leaves
-    their questions unanswered or does not reach the store. In a fleet of few
-    failure domains all of them do: a store that is silent towards a watcher
-    looks like one without changes, so that the watchers of other domains have
-    to pass changes on.
+    their questions unanswered or does not reach the store; then it asks further
+    nodes to watch too. In a fleet of few failure domains all watchers do: a
+    connection without answers looks like a store without changes, so that the
+    watchers of other domains have to pass changes on.
 
     :param world: the tables.
+    :param now: the present time in seconds.
     :return: whether it does.
     """
+    if now < world.store_check.deputy_until or is_first_watcher(world):
+        return True
     watchers = watcher_ids(world)
     if world.identity.node_id not in watchers:
         return False
-    first = watchers[0]
-    if first in {
-        world.identity.node_id,
-        world.configuration_exchange.silent_id,
-    }:
-        return True
     domains = {world.identity.failure_domain, *live_ids_by_domain(world)}
     return len(domains) < _MIN_DOMAINS
 
 
+def is_first_watcher(world: World) -> bool:
+    """Check whether this node is the first watcher that peers can reach.
+
+    :param world: the tables.
+    :return: True also for a standby of a first watcher that is silent.
+    """
+    watchers = watcher_ids(world)
+    own_id = world.identity.node_id
+    if own_id not in watchers:
+        return False
+    return watchers[0] in {own_id, world.configuration_exchange.silent_id}
+
+
 def is_store_unreachable(world: World) -> bool:
     """Check whether the store has not answered this node's latest requests.
 
     :param world: the tables.
     :return: False also if this node has not asked.
     """
-    return any(feed.failures for feed in world.kind_feeds)
+    is_failing = any(feed.failures for feed in world.kind_feeds)
+    return is_failing or world.store_check.is_silent
 
 
 def open_request_seconds(world: World, now: float) -> float:
--- a/src/figlane/systems/membership/rendezvous.py
+++ b/src/figlane/systems/membership/rendezvous.py
@@ -13,6 +13,8 @@
 
 # Nodes per failure domain that watch the platform API for changes.
 WATCHERS_PER_DOMAIN = 2
+# Further nodes per failure domain that watch while the watchers get no answers.
+_DEPUTIES_PER_DOMAIN = 3
 
 
 def choose_members(
@@ -86,13 +88,26 @@
     :param world: the tables.
     :return: ids of the chosen nodes, which may include this one.
     """
+    return _ranked_ids(world)[:WATCHERS_PER_DOMAIN]
+
+
+def deputy_ids(world: World) -> tuple[str, ...]:
+    """Choose the nodes that take over while the first watcher is not answered.
+
+    :param world: the tables.
+    :return: ids of the other watchers and of the nodes next in their order.
+    """
+    return _ranked_ids(world)[1:]
+
+
+def _ranked_ids(world: World) -> tuple[str, ...]:
     index = _live_index(world)
-    if not index.watcher_ids:
+    if not index.ranked_ids:
         domain = world.identity.failure_domain
         ids = {world.identity.node_id, *index.ids_by_domain.get(domain, ())}
-        chosen = choose_members(f'watch/{domain}', ids, WATCHERS_PER_DOMAIN)
-        index.watcher_ids = tuple(chosen)
-    return index.watcher_ids
+        count = WATCHERS_PER_DOMAIN + _DEPUTIES_PER_DOMAIN
+        index.ranked_ids = tuple(choose_members(f'watch/{domain}', ids, count))
+    return index.ranked_ids
 
 
 def is_watcher(world: World) -> bool:
--- a/src/figlane/telemetry/names.py
+++ b/src/figlane/telemetry/names.py
@@ -96,6 +96,7 @@
         'peer.unknown', 'messages dropped because the peer has no address'
     ),
     _counter('platform.failed', 'requests to the platform that failed'),
+    _counter('platform.silent', 'silences of the store found by a check'),
     _counter(
         'platform.write.*', 'platform writes that were not applied, by outcome'
     ),
--- a/src/figlane/wire/peer.py
+++ b/src/figlane/wire/peer.py
@@ -34,6 +34,7 @@
         51: configuration_messages.ConfigurationQuery,
         52: configuration_messages.ConfigurationStatus,
         53: configuration_messages.ObjectRequest,
+        61: configuration_messages.StoreSilence,
         54: gossip.Probe,
         55: gossip.ProbeAck,
         56: gossip.ProbeRequest,
--- a/tests/systems/fleet_model.py
+++ b/tests/systems/fleet_model.py
@@ -21,11 +21,13 @@
 )
 from figlane.entities.ingress import CallerLimits, ConfigurationReplaced
 from figlane.entities.kind_feed import (
+    CheckStore,
     FollowKinds,
     KindFailed,
     KindListed,
     KindWatched,
     ReadKind,
+    StoreChecked,
     WatchKind,
 )
 from figlane.entities.member import CONTACT_KIND, FindContacts, Member
@@ -286,6 +288,8 @@
                 self.answers.append((self.now, world.ingress.version))
             if isinstance(row, ReadKind | WatchKind | WriteObject):
                 self._call_store(node_id, row)
+            if isinstance(row, CheckStore):
+                self._check_store(node_id, row)
 
     def _deliver_arrived(self) -> None:
         arrived = self.in_flight
@@ -306,6 +310,12 @@
 
     def _call_store(self, node_id: str, row: Any) -> None:
         is_stale = isinstance(row, ReadKind) and row.allow_stale
+        # A later request for the same kind takes the place of an open watch.
+        self.watches = [
+            watch
+            for watch in self.watches
+            if (watch.node_id, watch.kind) != (node_id, row.kind)
+        ]
         self.price_by_node[node_id] += _STALE_PRICE if is_stale else _CALL_PRICE
         if self.is_store_down or node_id in self.turned_away:
             self._fail(node_id, row)
@@ -323,13 +333,18 @@
         else:
             self._write_if(node_id, row)
 
+    def _check_store(self, node_id: str, row: CheckStore) -> None:
+        self.price_by_node[node_id] += _STALE_PRICE
+        failing = self.is_store_down or node_id in self.turned_away
+        if not failing and node_id not in self.unanswered:
+            checked = StoreChecked(row.asked_at, is_answered=True)
+            self.in_flight.append((node_id, checked))
+            return
+        wait = 0 if failing else row.seconds
+        lost = LostRequest(node_id, row, self.now + wait)
+        self.lost_requests.append(lost)
+
     def _begin_watch(self, node_id: str, row: WatchKind) -> None:
-        # A later watch of the same kind takes the place of an abandoned one.
-        self.watches = [
-            watch
-            for watch in self.watches
-            if (watch.node_id, watch.kind) != (node_id, row.kind)
-        ]
         self.watches.append(
             PendingWatch(
                 node_id,
@@ -347,7 +362,10 @@
             self._fail(lost.node_id, lost.row)
 
     def _fail(self, node_id: str, row: Any) -> None:
-        if isinstance(row, WriteObject):
+        if isinstance(row, CheckStore):
+            checked = StoreChecked(row.asked_at, is_answered=False)
+            self.in_flight.append((node_id, checked))
+        elif isinstance(row, WriteObject):
             failed = ObjectWritten(
                 row.request_id, row.kind, row.name, WriteStatus.UNKNOWN
             )
