Carry a configuration of any size that the store takes between nodes

Cause: a frame holds 131,072 bytes of message at most, and the receiver of a larger one cuts the connection. A configuration of 1,400 routes takes 450 KB (the store takes objects of 1 MiB as JSON). Each comparison of checksums sends it again, so the connection is cut about once a second. Lists of members are sent in batches and do not reach the bound.

Evidence: the new test, with a configuration of 1 MiB, ends in a time-out without the change: nothing arrives after the configuration on that link.

Change: a bound of 4 MiB, above what 1 MiB of JSON takes here.

--- a/src/figlane/wire/peer.py
+++ b/src/figlane/wire/peer.py
@@ -86,7 +86,10 @@
 )
 _encoder = msgspec.msgpack.Encoder()
 _PREFIX_LENGTH = 3
-MAX_FRAME_BYTES = 131_072
+# Bound on the encoded message of a frame. The largest messages are a whole
+# configuration, of which the platform stores 1 MiB as JSON and which takes two
+# to three times that here, and a list of all members, 234 bytes each.
+MAX_FRAME_BYTES = 4_194_304
 
 
 class PeerFrameError(ValueError):
--- a/tests/adapters/test_peer_link.py
+++ b/tests/adapters/test_peer_link.py
@@ -7,13 +7,19 @@
 from typing import Any
 from unittest import IsolatedAsyncioTestCase, TestCase, mock
 
+import msgspec
+
 from figlane.adapters import peer_link
+from figlane.entities.configuration_messages import ConfigurationPush
 from figlane.entities.link import PeerSendFailed, ReplaceConnection
 from figlane.entities.link_messages import Ping
 from figlane.entities.outbox import SendToPeer
+from figlane.platform.configuration import decode_configuration
 
 _UNREACHABLE_ADDRESS = '127.0.0.1:9'
 _QUEUE_LIMIT = 2
+# The platform's bound on the content of a stored object.
+_STORED_BYTES = 1_048_576
 
 
 class SendTest(TestCase):
@@ -91,6 +97,18 @@
             self.assertEqual(row.message, Ping(number, 1))
             self.assertEqual(row.body, bytes([number]) * (number * 500))
 
+    async def test_largest_configuration_is_delivered(self) -> None:
+        """A configuration as large as the store takes does not cut the link."""
+        spec = _largest_specification()
+        configuration = decode_configuration(2, spec)
+        push = ConfigurationPush(configuration)
+        address = self.receiver_address
+        self.sender.send(SendToPeer('receiver', address, push))
+        self._send(1, b'')
+        await self._wait_for_rows(2)
+        self.assertEqual(self.rows[0].message, push)
+        self.assertEqual(self.receiver.rejected, 0)
+
     async def test_replaced_connection(self) -> None:
         """Messages are delivered after the connection is replaced."""
         self._send(1, b'')
@@ -129,5 +147,25 @@
                 await asyncio.sleep(0.01)
 
 
+def _largest_specification() -> dict[str, Any]:
+    columns = (
+        ('name', 'r-{0:07}'),
+        ('host', 'hulo{0:07}.example'),
+        ('path_prefix', '/leny950/{0:07}/'),
+        ('kind', 'safe'),
+        ('timeout', '5000ms'),
+        ('target_latency', '1200ms'),
+        ('service', 'huvo11a'),
+    )
+    rows: list[list[str]] = []
+    size = 0
+    while size < _STORED_BYTES:
+        row = [text.format(len(rows)) for _, text in columns]
+        size += len(msgspec.json.encode(row)) + 1
+        rows.append(row)
+    routes = {'columns': [name for name, _ in columns], 'rows': rows}
+    return {'routes': routes, 'services': {'columns': [], 'rows': []}}
+
+
 def _listener() -> socket.socket:
     return socket.create_server(('127.0.0.1', 0))
