Start nothing on a cold server while its rate is not known

Cause: a node that had heard its server but had no configuration yet took a missing service for one without a rate, and started all that peers sent.

Change: the rate of an unknown service is zero until the configuration comes; calls wait in the queue, within its bounds, and start then. A service without cold_per_s in a configuration stays unlimited, as its operators chose.

--- a/src/figlane/systems/admission/cold_rate.py
+++ b/src/figlane/systems/admission/cold_rate.py
@@ -33,6 +33,8 @@
     rate = _rate(world, backend)
     if rate == NEVER:
         return True
+    if not rate:
+        return False
     refill = (now - backend.cold_refilled_at) * rate
     backend.cold_tokens = min(_BURST_CALLS, backend.cold_tokens + refill)
     backend.cold_refilled_at = now
@@ -55,7 +57,7 @@
     if now >= backend.cold_until or backend.cold_tokens >= 1:
         return NEVER
     rate = _rate(world, backend)
-    return now + (1 - backend.cold_tokens) / rate
+    return now + (1 - backend.cold_tokens) / rate if rate else NEVER
 
 
 def set_cold_until(
@@ -92,5 +94,7 @@
 
 
 def _rate(world: World, backend: BackendServer) -> float:
+    # Without a configuration the rate is unknown, while peers that have one may
+    # already send calls.
     service = world.services.get(backend.service_id)
-    return NEVER if service is None else service.cold_rate * _RATE_FRACTION
+    return 0 if service is None else service.cold_rate * _RATE_FRACTION
--- a/tests/systems/admission/test_cold_rate.py
+++ b/tests/systems/admission/test_cold_rate.py
@@ -18,6 +18,7 @@
 )
 from figlane.systems.membership.domains import start_weight_ramp
 from figlane.systems.tick import run_tick
+from tests.systems.exit_node import BACKEND, SERVICE, ExitNode
 
 _RATE = 30.0
 
@@ -83,6 +84,25 @@
             has_token = take_start_token(world, backend, now)
 
 
+class UnconfiguredTest(unittest.TestCase):
+    """A node that has heard a cold backend server before its configuration."""
+
+    def test_unconfigured_cold_server_is_not_flooded(self) -> None:
+        """No call starts before the rate is known; the queue starts then.
+
+        After a loss of power, peers with a configuration send calls to a node
+        that has none yet.
+        """
+        node = ExitNode(slots=100)
+        node.world.services.remove(SERVICE)
+        node.world.backend_servers.by_id[BACKEND].cold_until = 1000
+        for _ in range(60):
+            node.offer()
+        self.assertEqual(node.tick(10), [])
+        node.world.services.insert(Service(SERVICE, 1, cold_rate=_RATE))
+        self.assertTrue(0 < len(node.tick(10.1)) <= _RATE)
+
+
 class ReturnTest(unittest.TestCase):
     """Return of a failure domain that was taken out."""
 
