Do not tick without pause while a queue waits on a server without cold rate

Callers saw late answers at most; the node's processor was busy.

Change: no token is awaited where the rate is unlimited. The new test failed before (due at 10.0 at the time 10.0) and passes.

--- a/src/figlane/systems/admission/cold_rate.py
+++ b/src/figlane/systems/admission/cold_rate.py
@@ -51,13 +51,14 @@
     :param world: the tables.
     :param backend: the backend server.
     :param now: the present time in seconds.
-    :return: the time in seconds, or ``NEVER`` if the server is not cold or a
-        token is available already.
+    :return: the time in seconds, or ``NEVER`` if no token is awaited: the
+        server is not cold, or its rate is unlimited or unknown.
     """
     if now >= backend.cold_until or backend.cold_tokens >= 1:
         return NEVER
     rate = _rate(world, backend)
-    return now + (1 - backend.cold_tokens) / rate if rate else NEVER
+    is_limited = 0 < rate < NEVER
+    return now + (1 - backend.cold_tokens) / rate if is_limited else NEVER
 
 
 def set_cold_until(
--- a/tests/systems/admission/test_cold_rate.py
+++ b/tests/systems/admission/test_cold_rate.py
@@ -11,6 +11,7 @@
 from figlane.entities.backend_server import BackendServer
 from figlane.entities.inbox import BackendAnnounced
 from figlane.entities.service import FailureDomain, Service
+from figlane.entities.table import NEVER
 from figlane.entities.world import Identity, World
 from figlane.systems.admission.cold_rate import (
     next_token_time,
@@ -76,6 +77,17 @@
             now = due + 1e-6
             self.assertTrue(take_start_token(world, backend, now))
 
+    def test_server_without_cold_rate_needs_no_token(self) -> None:
+        """A queue on a cold server without a configured rate waits for slots.
+
+        A due time in the present would start a tick at once, again and again.
+        """
+        world, backend = _world()
+        world.services.insert(Service('shop', 2))
+        backend.cold_until = 1000
+        self.assertTrue(take_start_token(world, backend, 10))
+        self.assertEqual(next_token_time(world, backend, 10), NEVER)
+
     def _drain_bucket(
         self, world: World, backend: BackendServer, now: float
     ) -> None:
