Believe a server that it is warm only by a word sent after its return

Cause: the node took them for cold until the next announcement. An announcement may arrive seconds late; one that was sent before the server went cold says that it is warm, and ended the assumption.

Change: at the return of its failure domain the node asks the server itself by a health check, whose answer tells how long the cold start lasts (Figlane-Cold-Ms), so that a warm server waits for one round trip only. The first announcement that tells of no cold start is not believed until then; the second one is, for services without a health path. A health check that confirms a server after a restart of its node now tells its cold start too. No bound or check of the tests before has changed.

--- a/src/figlane/entities/backend_server.py
+++ b/src/figlane/entities/backend_server.py
@@ -39,7 +39,9 @@
     ``refused_at``. ``refused_count`` counts consecutive refused connections;
     after too many of them it gets no calls until ``ejected_until``. Until
     ``cold_until`` its call rate is limited by a token bucket whose fill level
-    was ``cold_tokens`` at ``cold_refilled_at``. ``born`` identifies the start
+    was ``cold_tokens`` at ``cold_refilled_at``. While ``is_warmth_doubted`` is
+    set, the next announcement that tells of no cold start may be older than
+    the cold start, and is not believed. ``born`` identifies the start
     of the backend server and ``sequence`` is the number of its newest
     announcement. ``is_unhealthy`` is set if its last health check reported it
     as unhealthy.
@@ -66,6 +68,7 @@
     cold_until: float = 0
     cold_tokens: float = 0
     cold_refilled_at: float = 0
+    is_warmth_doubted: bool = False
     born: int = 0
     sequence: float = 0
     is_unhealthy: bool = False
--- a/src/figlane/entities/inbox.py
+++ b/src/figlane/entities/inbox.py
@@ -89,12 +89,14 @@
 
     ``is_healthy`` is False if the response has a status other than 200 or does
     not carry the id of this server, and None if the server did not respond or
-    was too busy to run the check.
+    was too busy to run the check. ``cold_seconds`` is the remaining length of
+    its cold start, None if this server did not run the check.
     """
 
     instance_id: str
     born: int
     is_healthy: bool | None
+    cold_seconds: float | None = None
 
 
 @dataclass(slots=True)
--- a/src/figlane/platform/headers.py
+++ b/src/figlane/platform/headers.py
@@ -18,6 +18,9 @@
 TARGET_ID = b'figlane-target-instance'
 # The id of the backend server, in its answer to a health check.
 INSTANCE_ID = b'figlane-instance-id'
+# How long the backend server's cold start still lasts, in milliseconds, in its
+# answer to a health check; missing if it is not cold.
+COLD_MS = b'figlane-cold-ms'
 # Set by a backend server that did not execute the request.
 NOT_EXECUTED = b'figlane-not-executed'
 RETRY_AFTER = b'retry-after'
--- a/src/figlane/platform/health.py
+++ b/src/figlane/platform/health.py
@@ -13,6 +13,7 @@
 from figlane.entities.inbox import BackendChecked
 from figlane.entities.outbox import CheckBackend
 from figlane.platform import headers as names
+from figlane.platform.quantities import parse_milliseconds
 
 _OK = 200
 # Shorter than the usual 1.5 s between two announcements: an answer that
@@ -63,17 +64,22 @@
             )
         finally:
             pool.close()
-        is_healthy = _interpret_answer(row, outcome)
-        self._deliver(BackendChecked(row.instance_id, row.born, is_healthy))
+        self._deliver(_interpret_answer(row, outcome))
 
 
 def _interpret_answer(
     row: CheckBackend,
     outcome: Answer | HttpFailure,
-) -> bool | None:
+) -> BackendChecked:
+    checked = BackendChecked(row.instance_id, row.born, is_healthy=None)
     if not isinstance(outcome, Answer):
-        return None
+        return checked
     if names.find_value(outcome.headers, names.NOT_EXECUTED):
-        return None
+        return checked
     answered_id = names.find_value(outcome.headers, names.INSTANCE_ID)
-    return outcome.status == _OK and answered_id == row.instance_id.encode()
+    is_this_server = answered_id == row.instance_id.encode()
+    checked.is_healthy = outcome.status == _OK and is_this_server
+    if is_this_server:
+        cold_ms = names.find_value(outcome.headers, names.COLD_MS)
+        checked.cold_seconds = parse_milliseconds(cold_ms)
+    return checked
--- a/src/figlane/platform/quantities.py
+++ b/src/figlane/platform/quantities.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+_MS_PER_SECOND = 1000
 _SECONDS_BY_UNIT = (('ms', 0.001), ('s', 1.0))
 
 
@@ -21,6 +22,18 @@
     raise ValueError(f'{text!r} has no unit of time, ms or s')
 
 
+def parse_milliseconds(text: bytes) -> float | None:
+    """Decode the value of a header that holds a number of milliseconds.
+
+    :param text: the value, empty if the header is missing.
+    :return: the duration in seconds, 0 if the header is missing, and None if
+        the value is no such number.
+    """
+    if not text:
+        return 0
+    return int(text) / _MS_PER_SECOND if text.isdigit() else None
+
+
 def parse_table_rows(table: Any) -> list[dict[str, Any]]:
     """Decode a list of entries that is written as a table.
 
--- a/src/figlane/systems/admission/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -6,7 +6,7 @@
 from figlane.entities.execution import Execution
 from figlane.entities.http import Answer, StreamedAnswer
 from figlane.entities.inbox import BackendAnnounced, BackendChecked
-from figlane.entities.outbox import CheckBackend, LogDecision
+from figlane.entities.outbox import LogDecision
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
@@ -14,6 +14,10 @@
 from figlane.systems.admission.cold_rate import set_cold_until
 from figlane.systems.admission.cold_start import restart_ramp
 from figlane.systems.admission.concurrency_limit import concurrency_limit
+from figlane.systems.admission.health_checks import (
+    health_path,
+    request_health_check,
+)
 from figlane.systems.admission.latency import running_backend
 from figlane.systems.membership.states import publish_own_member
 from figlane.systems.registry import (
@@ -58,8 +62,7 @@
         backend = _replace_backend(world, row, now)
     backend.sequence = NEVER if row.is_leaving else row.sequence
     backend.announced_at = now
-    cold_until = now + row.cold_seconds
-    set_cold_until(world, backend, cold_until, now, 'announcement')
+    _apply_announced_cold(world, backend, row, now)
     timeout = max(ANNOUNCEMENT_TIMEOUT_SECONDS, _TIMEOUT_PERIODS * row.period)
     world.backend_servers.schedule(backend, now + timeout)
     needs_confirmation = not is_known and row.sequence > _FIRST_SEQUENCE
@@ -69,6 +72,18 @@
         _admit(world, backend, needs_confirmation=needs_confirmation)
 
 
+def _apply_announced_cold(
+    world: World, backend: BackendServer, row: BackendAnnounced, now: float
+) -> None:
+    if backend.is_warmth_doubted and not row.cold_seconds:
+        backend.is_warmth_doubted = False
+        request_health_check(world, backend)
+        return
+    backend.is_warmth_doubted = False
+    cold_until = now + row.cold_seconds
+    set_cold_until(world, backend, cold_until, now, 'announcement')
+
+
 def _admit(
     world: World,
     backend: BackendServer,
@@ -99,8 +114,6 @@
     # the restart. If the service has no health endpoint, the next announcement
     # confirms the server.
     world.backend_servers.move(backend, BackendServerPhase.UNCONFIRMED)
-    service = world.services.get(backend.service_id)
-    path = '' if service is None else service.health_path
     world.outbox.append(
         LogDecision(
             'backend_server_doubted',
@@ -110,27 +123,19 @@
                 'born': backend.born,
                 'sequence': backend.sequence,
                 'was_unhealthy': backend.is_unhealthy,
-                'health_path': path,
+                'health_path': health_path(world, backend),
             },
         ),
     )
-    if not path:
-        return
-    world.outbox.append(
-        CheckBackend(
-            backend.id,
-            backend.born,
-            backend.address,
-            path,
-        ),
-    )
+    request_health_check(world, backend)
 
 
 @inbox_handlers.register(BackendChecked)
 def handle_health_check(world: World, row: BackendChecked, now: float) -> None:
-    """Put an unconfirmed backend server into service if it is healthy.
+    """Believe a server's health check, which it has answered just now.
 
-    If the check had no result, the next announcement confirms the server.
+    An unconfirmed server that is healthy is put into service. If the check had
+    no result, the next announcement decides.
 
     :param world: the tables.
     :param row: the result of the health check.
@@ -139,6 +144,10 @@
     backend = world.backend_servers.get(row.instance_id)
     if backend is None or backend.born != row.born:
         return
+    if row.cold_seconds is not None:
+        backend.is_warmth_doubted = False
+        cold_until = now + row.cold_seconds
+        set_cold_until(world, backend, cold_until, now, 'health check')
     if backend.phase is not BackendServerPhase.UNCONFIRMED:
         return
     backend.is_unhealthy = row.is_healthy is False
--- a/src/figlane/systems/membership/domains.py
+++ b/src/figlane/systems/membership/domains.py
@@ -7,8 +7,8 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
-from figlane.systems.admission.cold_rate import set_cold_until
 from figlane.systems.admission.execution import end_execution
+from figlane.systems.admission.health_checks import doubt_warmth
 from figlane.systems.registry import Stage, routines, system
 from figlane.systems.scheduling import bring_forward
 
@@ -65,10 +65,10 @@
 
 def _assume_cold(world: World, now: float) -> None:
     # A backend server that got no calls for a while may have gone cold since
-    # its last announcement, so it counts as cold until the next one.
+    # its last announcement, and the next one may have been sent before that.
     for backend in world.backend_servers:
         if backend.born:
-            set_cold_until(world, backend, NEVER, now, 'domain returned')
+            doubt_warmth(world, backend, now, 'domain returned')
 
 
 @routines.register(RAMP_ROUTINE)
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -86,6 +86,7 @@
         self.body_bytes = 400
         self.state = 'ready'
         self.cold_remaining = '0ms'
+        self.cold_ms = b''
         self.sequence = 0
         self.born = time.time_ns() // 1_000_000
         self.faults = BackendFaults()
@@ -111,12 +112,14 @@
         if request.target == HEALTH_PATH:
             is_healthy = self.state == 'ready'
             id_header = (b'figlane-instance-id', self.instance_id.encode())
-            connection.respond(
-                _OK if is_healthy else _UNAVAILABLE, (id_header,)
-            )
+            headers = [id_header]
+            if self.cold_ms:
+                headers.append((b'figlane-cold-ms', self.cold_ms))
+            status = _OK if is_healthy else _UNAVAILABLE
+            connection.respond(status, tuple(headers))
             return
-        headers = dict(request.headers)
-        target = headers.get(b'figlane-target-instance', b'').decode()
+        received = dict(request.headers)
+        target = received.get(b'figlane-target-instance', b'').decode()
         if target and target != self.instance_id:
             connection.respond(_MISDIRECTED, ())
             return
@@ -125,7 +128,7 @@
             connection.respond(_UNAVAILABLE, refusal)
             return
         self.request_log.requests.append(request)
-        request_id = headers.get(_REQUEST_ID_HEADER, b'').decode()
+        request_id = received.get(_REQUEST_ID_HEADER, b'').decode()
         self.request_log.run_count_by_id[request_id] += 1
         task = self._loop.create_task(self._run(connection, request_id))
         self._task_by_connection[connection] = task
--- a/tests/platform/test_health.py
+++ b/tests/platform/test_health.py
@@ -40,15 +40,33 @@
                 self.backend.state = state
                 self.assertIs(await self._check(checked_id), expected)
 
+    async def test_cold_start_in_response(self) -> None:
+        """The remaining cold start is that of the server itself, if it is."""
+        cases = (
+            ('cold', b'1500', _ID, 1.5),
+            ('warm', b'', _ID, 0),
+            ('malformed', b'-soon', _ID, None),
+            ('another server', b'1500', 'i-2', None),
+        )
+        for name, cold_ms, checked_id, expected in cases:
+            with self.subTest(name=name):
+                self.backend.cold_ms = cold_ms
+                checked = await self._run_check(checked_id)
+                self.assertEqual(checked.cold_seconds, expected)
+
     async def test_no_answer(self) -> None:
         """The health of a server that cannot be reached is unknown."""
         self.backend.address = reserve_addresses(1)[0]
         self.assertIsNone(await self._check(_ID))
 
     async def _check(self, instance_id: str) -> bool | None:
+        checked = await self._run_check(instance_id)
+        return checked.is_healthy
+
+    async def _run_check(self, instance_id: str) -> BackendChecked:
         address = self.backend.address
         row = CheckBackend(instance_id, 5, address, HEALTH_PATH)
         self.checker.check(row)
         checked = await asyncio.wait_for(self.check_results.get(), 5)
         self.assertEqual((checked.instance_id, checked.born), (instance_id, 5))
-        return checked.is_healthy
+        return checked
--- a/tests/systems/admission/test_cold_rate.py
+++ b/tests/systems/admission/test_cold_rate.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from figlane.entities.backend_server import BackendServer
-from figlane.entities.inbox import BackendAnnounced
+from figlane.entities.inbox import BackendAnnounced, BackendChecked
+from figlane.entities.outbox import CheckBackend
 from figlane.entities.service import FailureDomain, Service
 from figlane.entities.table import NEVER
 from figlane.entities.world import Identity, World
@@ -118,6 +119,34 @@
 class ReturnTest(unittest.TestCase):
     """Return of a failure domain that was taken out."""
 
+    def test_late_announcement_ends_no_cold_start(self) -> None:
+        """An announcement sent before the cold start does not end it.
+
+        The server's answer to a health check does, or a second announcement.
+        """
+        for is_checked in (True, False):
+            with self.subTest(is_checked=is_checked):
+                node = _returned_node()
+                node.world.inbox.append(_warm_announcement(4))
+                node.tick(10.1)
+                if is_checked:
+                    checked = BackendChecked(BACKEND, 1, True, cold_seconds=2)
+                    node.world.inbox.append(checked)
+                self.assertLessEqual(_starts(node, 10.2, 11.1), _RATE)
+                node.world.inbox.append(_warm_announcement(5))
+                self.assertGreater(_starts(node, 12.3, 12.4), _RATE)
+
+    def test_health_check_ends_doubt_at_once(self) -> None:
+        """A server that says that it is warm gets its usual rate at once."""
+        node = _returned_node()
+        self.assertEqual(
+            [row for row in node.outbox if isinstance(row, CheckBackend)],
+            [CheckBackend(BACKEND, 1, '127.0.0.1:2', '/health')],
+        )
+        checked = BackendChecked(BACKEND, 1, True, cold_seconds=0)
+        node.world.inbox.append(checked)
+        self.assertGreater(_starts(node, 10.1, 10.2), _RATE)
+
     def test_cold_until_announced(self) -> None:
         """A backend server counts as cold until it announces otherwise."""
         world, backend = _world()
@@ -140,3 +169,28 @@
             )
             run_tick(world, 50)
             self.assertEqual(backend.cold_until, 50 + cold_seconds)
+
+
+def _returned_node() -> ExitNode:
+    # The failure domain returns at 10 s; the server was warm until then.
+    node = ExitNode(slots=200)
+    service = Service(SERVICE, 1, cold_rate=_RATE, health_path='/health')
+    node.world.services.insert(service)
+    node.world.inbox.append(_warm_announcement(3))
+    node.tick(9)
+    start_weight_ramp(node.world, node.world.identity.failure_domain, 10)
+    node.tick(10)
+    return node
+
+
+def _warm_announcement(sequence: int) -> BackendAnnounced:
+    return BackendAnnounced(
+        BACKEND, SERVICE, '127.0.0.1:2', 200, 200, born=1, sequence=sequence
+    )
+
+
+def _starts(node: ExitNode, since: float, until: float) -> int:
+    for _ in range(60):
+        node.offer()
+    started = len(node.tick(since))
+    return started + len(node.tick(until))
