Keep to the rate that a backend server names in its answers

Cause: Server-Limit meant nothing to a node, which starts calls up to the announced slots.

Change: the adapter decodes the header of each answer, also of health checks. The node beside the server keeps a bucket of the named rate; since nobody else reaches the server, it is the whole fleet's. What does not fit waits within a queue that drains in the usual time, or is refused as not run. A node that knows a server anew after a restart starts four calls until the first answer: the limit is not in the announcements. Tokens are no longer spent on calls that the deadline check then refuses.

--- a/src/figlane/adapters/backend_client.py
+++ b/src/figlane/adapters/backend_client.py
@@ -16,6 +16,7 @@
     HttpStreamEnd,
     ResponseHead,
 )
+from figlane.entities.http import Answer, Headers
 from figlane.entities.inbox import (
     BackendChunk,
     BackendFinished,
@@ -28,21 +29,28 @@
     ResumeBackend,
     RunOnBackend,
 )
+from figlane.entities.server_notice import BackendNoticed, ServerNotice
 from figlane.errors import ErrorKind, Refusal
 
+_NO_NOTICE = ServerNotice()
+
 Deliver = Callable[[Any], None]
 
 
 class _StreamRelay:
     """Delivers a streamed response as inbox rows."""
 
-    __slots__ = ('_deliver', '_row')
+    __slots__ = ('_client', '_deliver', '_row')
 
-    def __init__(self, row: RunOnBackend, deliver: Deliver) -> None:
+    def __init__(
+        self, row: RunOnBackend, client: BackendClient, deliver: Deliver
+    ) -> None:
         self._row = row
+        self._client = client
         self._deliver = deliver
 
     def on_head(self, head: ResponseHead) -> None:
+        self._client.deliver_notice(self._row, head.status, head.headers)
         self._deliver(
             BackendStreamStarted(
                 self._row.execution_id,
@@ -66,6 +74,7 @@
         '_dialect',
         '_exchange_by_id',
         '_loop',
+        '_notice_by_server',
         '_pool_by_address',
     )
 
@@ -87,6 +96,7 @@
         self._deliver = deliver
         self._pool_by_address: dict[str, HttpPool] = {}
         self._exchange_by_id: dict[str, Exchange] = {}
+        self._notice_by_server: dict[str, ServerNotice] = {}
 
     def run(self, row: RunOnBackend) -> None:
         """Send an execution's request to its backend server.
@@ -98,12 +108,13 @@
         pool = self._pool_by_address.get(row.address)
         if pool is None:
             self._close_pools()
+            self._notice_by_server.clear()
             pool = HttpPool(self._loop, row.address, row.connections)
             self._pool_by_address[row.address] = pool
         exchange = pool.request(
             self._dialect.encode(row),
             lambda outcome: self._deliver_outcome(row, outcome),
-            _StreamRelay(row, self._deliver),
+            _StreamRelay(row, self, self._deliver),
             functools.partial(self._dialect.is_response_to, row),
         )
         if not exchange.is_done:
@@ -136,6 +147,26 @@
         if exchange is not None:
             exchange.resume()
 
+    def deliver_notice(
+        self, row: RunOnBackend, status: int, headers: Headers
+    ) -> None:
+        """Deliver what a response says of its server.
+
+        Servers that have never said anything need no inbox row.
+
+        :param row: the execution.
+        :param status: the response status.
+        :param headers: the response headers.
+        """
+        notice = self._dialect.read_notice(status, headers)
+        server_id = row.backend_server_id
+        if notice is None:
+            return
+        if notice == _NO_NOTICE and server_id not in self._notice_by_server:
+            return
+        self._notice_by_server[server_id] = notice
+        self._deliver(BackendNoticed(row.execution_id, notice))
+
     def close(self) -> None:
         """Close all connections."""
         self._close_pools()
@@ -157,6 +188,8 @@
                 ),
             )
             return
+        if isinstance(outcome, Answer):
+            self.deliver_notice(row, outcome.status, outcome.headers)
         if isinstance(outcome, HttpFailure):
             translated = _to_refusal(outcome)
         else:
--- a/src/figlane/adapters/backend_dialect.py
+++ b/src/figlane/adapters/backend_dialect.py
@@ -13,9 +13,11 @@
 from figlane.adapters.http_client import end_to_end_headers
 from figlane.entities.http import Answer, Headers, Request
 from figlane.entities.outbox import RunOnBackend
+from figlane.entities.server_notice import ServerNotice
 from figlane.errors import Refusal
 
 MS_PER_SECOND = 1000
+_NO_NOTICE = ServerNotice()
 
 
 class BackendDialect(Protocol):
@@ -39,6 +41,14 @@
         :return: False for a response to another request.
         """
 
+    def read_notice(self, status: int, headers: Headers) -> ServerNotice | None:
+        """Read what a response says of the backend server itself.
+
+        :param status: the response status.
+        :param headers: the response headers.
+        :return: None if the server says nothing that could be read.
+        """
+
     def decode(self, row: RunOnBackend, answer: Answer) -> Answer | Refusal:
         """Translate a response into the execution's outcome.
 
@@ -91,6 +101,15 @@
         """
         return True
 
+    def read_notice(self, status: int, headers: Headers) -> ServerNotice | None:
+        """Read nothing: such servers say nothing of themselves in responses.
+
+        :param status: the response status.
+        :param headers: the response headers.
+        :return: a notice that says nothing.
+        """
+        return _NO_NOTICE
+
     def decode(self, row: RunOnBackend, answer: Answer) -> Answer | Refusal:
         """Strip the hop-by-hop headers of a response.
 
--- a/src/figlane/entities/backend_server.py
+++ b/src/figlane/entities/backend_server.py
@@ -7,6 +7,7 @@
 
 from figlane.entities.latency import LatencyEstimate, LatencyWindow
 from figlane.entities.ramp import Ramp
+from figlane.entities.server_notice import NamedLimit
 from figlane.entities.table import NEVER, IdentityHashMixin
 
 
@@ -44,7 +45,8 @@
     the cold start, and is not believed. ``born`` identifies the start
     of the backend server and ``sequence`` is the number of its newest
     announcement. ``is_unhealthy`` is set if its last health check reported it
-    as unhealthy.
+    as unhealthy. ``named_limit`` is the limit on its rate that it names in its
+    answers. While ``awaits_first_answer`` is set, that is not known yet.
     """
 
     id: str
@@ -72,6 +74,8 @@
     born: int = 0
     sequence: float = 0
     is_unhealthy: bool = False
+    named_limit: NamedLimit | None = None
+    awaits_first_answer: bool = False
     phase: BackendServerPhase = BackendServerPhase.SERVING
     due: float = NEVER
 
--- a/src/figlane/entities/inbox.py
+++ b/src/figlane/entities/inbox.py
@@ -9,6 +9,7 @@
 from figlane.entities.call import Call
 from figlane.entities.http import Answer, Headers
 from figlane.entities.right import RightRecord
+from figlane.entities.server_notice import ServerNotice
 from figlane.entities.service import FailureDomain, Organisation, Service
 from figlane.errors import Refusal
 
@@ -90,13 +91,15 @@
     ``is_healthy`` is False if the response has a status other than 200 or does
     not carry the id of this server, and None if the server did not respond or
     was too busy to run the check. ``cold_seconds`` is the remaining length of
-    its cold start, None if this server did not run the check.
+    its cold start, None if this server did not run the check, and ``notice``
+    what its answer says otherwise.
     """
 
     instance_id: str
     born: int
     is_healthy: bool | None
     cold_seconds: float | None = None
+    notice: ServerNotice | None = None
 
 
 @dataclass(slots=True)
--- a/src/figlane/platform/backend.py
+++ b/src/figlane/platform/backend.py
@@ -6,11 +6,28 @@
 from figlane.adapters.http_client import end_to_end_headers
 from figlane.entities.http import Answer, Headers, Request
 from figlane.entities.outbox import RunOnBackend
+from figlane.entities.server_notice import ServerNotice
 from figlane.errors import ErrorKind, Refusal
 from figlane.platform import headers as names
+from figlane.platform.quantities import parse_rate
 
 _MISDIRECTED = 421
-_TOO_MANY_REQUESTS = 429
+_NO_NOTICE = ServerNotice()
+
+
+def read_server_notice(headers: Headers) -> ServerNotice | None:
+    """Read what the headers of an answer say of the server that gave it.
+
+    :param headers: headers with names in lower case.
+    :return: None if they are malformed.
+    """
+    text = names.find_value(headers, names.SERVER_LIMIT)
+    if not text:
+        return _NO_NOTICE
+    try:
+        return ServerNotice(parse_rate(text))
+    except ValueError:
+        return None
 
 
 class PlatformDialect:
@@ -59,6 +76,16 @@
             row.request.headers, names.REQUEST_ID
         )
 
+    def read_notice(self, status: int, headers: Headers) -> ServerNotice | None:
+        """Read what an answer says of the backend server itself.
+
+        :param status: the answer's status.
+        :param headers: the answer's headers.
+        :return: None if another server has answered, or if what it says cannot
+            be read.
+        """
+        return None if status == _MISDIRECTED else read_server_notice(headers)
+
     def decode(self, row: RunOnBackend, answer: Answer) -> Answer | Refusal:
         """Map an HTTP answer to the outcome of the execution.
 
--- a/src/figlane/platform/headers.py
+++ b/src/figlane/platform/headers.py
@@ -21,6 +21,9 @@
 # How long the backend server's cold start still lasts, in milliseconds, in its
 # answer to a health check; missing if it is not cold.
 COLD_MS = b'figlane-cold-ms'
+# Requests a second that the backend server takes from all nodes together, as
+# a decimal number, in its answers for as long as it holds.
+SERVER_LIMIT = b'server-limit'
 # Set by a backend server that did not execute the request.
 NOT_EXECUTED = b'figlane-not-executed'
 RETRY_AFTER = b'retry-after'
--- a/src/figlane/platform/health.py
+++ b/src/figlane/platform/health.py
@@ -13,6 +13,7 @@
 from figlane.entities.inbox import BackendChecked
 from figlane.entities.outbox import CheckBackend
 from figlane.platform import headers as names
+from figlane.platform.backend import read_server_notice
 from figlane.platform.quantities import parse_milliseconds
 
 _OK = 200
@@ -82,4 +83,5 @@
     if is_this_server:
         cold_ms = names.find_value(outcome.headers, names.COLD_MS)
         checked.cold_seconds = parse_milliseconds(cold_ms)
+        checked.notice = read_server_notice(outcome.headers)
     return checked
--- a/src/figlane/platform/quantities.py
+++ b/src/figlane/platform/quantities.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 _MS_PER_SECOND = 1000
@@ -34,6 +35,18 @@
     return int(text) / _MS_PER_SECOND if text.isdigit() else None
 
 
+def parse_rate(text: bytes) -> float:
+    """Decode a rate; raises ``ValueError``.
+
+    :param text: a decimal number that is not negative.
+    :return: the number, without a unit.
+    """
+    rate = float(text)
+    if not math.isfinite(rate) or rate < 0:
+        raise ValueError(f'{text!r} is not a rate')
+    return rate
+
+
 def parse_table_rows(table: Any) -> list[dict[str, Any]]:
     """Decode a list of entries that is written as a table.
 
--- a/src/figlane/systems/admission/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -19,6 +19,7 @@
     request_health_check,
 )
 from figlane.systems.admission.latency import running_backend
+from figlane.systems.admission.named_limit import apply_notice
 from figlane.systems.membership.states import publish_own_member
 from figlane.systems.registry import (
     Stage,
@@ -148,6 +149,8 @@
         backend.is_warmth_doubted = False
         cold_until = now + row.cold_seconds
         set_cold_until(world, backend, cold_until, now, 'health check')
+    if row.notice is not None:
+        apply_notice(world, backend, row.notice, now, now)
     if backend.phase is not BackendServerPhase.UNCONFIRMED:
         return
     backend.is_unhealthy = row.is_healthy is False
@@ -219,6 +222,7 @@
         return
     if isinstance(outcome, Answer | StreamedAnswer):
         backend.refused_count = 0
+        backend.awaits_first_answer = False
         return
     if outcome.kind is not ErrorKind.NO_BACKEND_SERVER:
         return
@@ -268,5 +272,9 @@
             },
         ),
     )
+    if backend.phase is BackendServerPhase.UNCONFIRMED:
+        # An earlier start of this node may have known a limit that the server
+        # names in its answers only.
+        backend.awaits_first_answer = True
     world.backend_servers.move(backend, phase)
     publish_own_member(world)
--- a/src/figlane/systems/admission/control.py
+++ b/src/figlane/systems/admission/control.py
@@ -20,6 +20,12 @@
 from figlane.systems.admission.concurrency_limit import concurrency_limit
 from figlane.systems.admission.deadline_check import max_queue_wait, queue_bound
 from figlane.systems.admission.execution import end_execution
+from figlane.systems.admission.named_limit import (
+    FIRST_CALLS,
+    has_limit_token,
+    next_limit_token_time,
+    take_limit_token,
+)
 from figlane.systems.admission.queue import (
     advance_virtual_time,
     dequeue,
@@ -57,6 +63,8 @@
         _refuse_all(world, now)
         return
     backend.limit = concurrency_limit(backend)
+    if backend.awaits_first_answer:
+        backend.limit = min(backend.limit, FIRST_CALLS)
     arrived = new_executions(world)
     if _can_bypass_queue(world, backend, len(arrived)):
         arrived = _start_without_queue(world, arrived, backend, now)
@@ -89,10 +97,12 @@
 ) -> list[Execution]:
     remaining = []
     for execution in arrived:
-        if not _try_admit(world, backend, now):
-            remaining.append(execution)
-        elif _passes_deadline_check(world, execution, backend, now):
+        if not _passes_deadline_check(world, execution, backend, now):
+            continue
+        if _try_admit(world, backend, now):
             _start(world, execution, backend, now)
+        else:
+            remaining.append(execution)
     return remaining
 
 
@@ -139,16 +149,22 @@
 ) -> None:
     while running_count(world) < backend.limit:
         execution = start_candidate(world)
-        if execution is None or not _try_admit(world, backend, now):
+        if execution is None or not has_limit_token(backend, now):
             return
-        if _passes_deadline_check(world, execution, backend, now):
-            _start(world, execution, backend, now)
+        if not _passes_deadline_check(world, execution, backend, now):
+            continue
+        if not _try_admit(world, backend, now):
+            return
+        _start(world, execution, backend, now)
 
 
 def _try_admit(world: World, backend: BackendServer, now: float) -> bool:
-    return has_allowed_start(backend.ramp) and take_start_token(
-        world, backend, now
-    )
+    if not has_allowed_start(backend.ramp) or not has_limit_token(backend, now):
+        return False
+    if not take_start_token(world, backend, now):
+        return False
+    take_limit_token(backend)
+    return True
 
 
 def _shed_excess(world: World, backend: BackendServer, now: float) -> None:
@@ -179,7 +195,10 @@
 
 
 def _schedule_flows(world: World, backend: BackendServer, now: float) -> None:
-    start_at = next_token_time(world, backend, now)
+    start_at = min(
+        next_token_time(world, backend, now),
+        next_limit_token_time(backend, now),
+    )
     for flow in world.flows.in_phase(FlowPhase.BACKLOGGED):
         refused_at = oldest_execution(flow).queued_at + max_queue_wait(
             backend, now
--- a/src/figlane/systems/admission/deadline_check.py
+++ b/src/figlane/systems/admission/deadline_check.py
@@ -10,6 +10,10 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.systems.admission.latency import ESTIMATE_LIFETIME_SECONDS
+from figlane.systems.admission.named_limit import (
+    calls_within_limit,
+    has_limit_token,
+)
 from figlane.systems.registry import deadline_policies
 
 # Upper bound on queued executions per slot of the concurrency limit.
@@ -74,17 +78,21 @@
     return None
 
 
-def queue_bound(backend: BackendServer, now: float) -> int:
+def queue_bound(backend: BackendServer, now: float) -> float:
     """Compute the maximum queue length.
 
     By Little's law it is the length that drains within the target queue
-    delay, capped at a fixed number per slot.
+    delay, capped at a fixed number per slot and at what a limit that the server
+    names lets start within that delay.
 
     :param backend: the backend server, with its concurrency limit set.
     :param now: the present time in seconds.
     :return: the maximum number of queued executions.
     """
-    bound = backend.limit * QUEUE_PER_SLOT
+    bound = min(
+        backend.limit * QUEUE_PER_SLOT,
+        calls_within_limit(backend, target_wait(backend, now)),
+    )
     average = _average_latency(backend, now)
     if not average:
         return bound
@@ -142,7 +150,10 @@
     if flow is None:
         return 0
     ahead = _count_ahead(world, flow)
-    return ahead * _average_latency(backend, now) / backend.limit
+    by_slots = ahead * _average_latency(backend, now) / backend.limit
+    if has_limit_token(backend, now):
+        return by_slots
+    return max(by_slots, ahead / calls_within_limit(backend, 1))
 
 
 def _count_ahead(world: World, flow: Flow) -> float:
--- a/src/figlane/telemetry/names.py
+++ b/src/figlane/telemetry/names.py
@@ -49,6 +49,10 @@
     _counter(
         'backend.cold-call', 'calls started on a backend server in cold start'
     ),
+    _counter(
+        'backend.limit-named',
+        'changes of the limit that the backend server names',
+    ),
     _counter(
         'backend.outdated-announcement',
         'late announcements of an earlier start',
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -87,6 +87,7 @@
         self.state = 'ready'
         self.cold_remaining = '0ms'
         self.cold_ms = b''
+        self.notice_headers: tuple[tuple[bytes, bytes], ...] = ()
         self.sequence = 0
         self.born = time.time_ns() // 1_000_000
         self.faults = BackendFaults()
@@ -112,7 +113,7 @@
         if request.target == HEALTH_PATH:
             is_healthy = self.state == 'ready'
             id_header = (b'figlane-instance-id', self.instance_id.encode())
-            headers = [id_header]
+            headers = [id_header, *self.notice_headers]
             if self.cold_ms:
                 headers.append((b'figlane-cold-ms', self.cold_ms))
             status = _OK if is_healthy else _UNAVAILABLE
@@ -198,6 +199,7 @@
         headers = (
             (_REQUEST_ID_HEADER, request_id.encode()),
             (_SEAL_HEADER, f'seal-{request_id}'.encode()),
+            *self.notice_headers,
         )
         if self.faults.resets:
             connection.abort_response()
