Give a server that says that it leaves no more calls

A server that leaves may say so in its answers only, and announce that it is ready meanwhile.

Cause: Server-Leaving meant nothing to a node; only announcements did.

Change: the notice in an answer, also to a health check, drains the server at its own node at once: what waits is refused as not run, members hear of it, and running calls end. Announcements of the same start of the server do not bring it back, whatever they say. It is decided beside the server, so that neither the store nor other nodes have to be heard. Notices go to a registry of observers; the limit is the other one.

A node that restarts hears it from the health check that confirms the server, or from one of the first four answers.

--- a/src/figlane/entities/backend_server.py
+++ b/src/figlane/entities/backend_server.py
@@ -46,7 +46,8 @@
     of the backend server and ``sequence`` is the number of its newest
     announcement. ``is_unhealthy`` is set if its last health check reported it
     as unhealthy. ``named_limit`` is the limit on its rate that it names in its
-    answers. While ``awaits_first_answer`` is set, that is not known yet.
+    answers, and ``is_leaving`` is set once one of them said that it leaves.
+    While ``awaits_first_answer`` is set, neither is known yet.
     """
 
     id: str
@@ -75,6 +76,7 @@
     sequence: float = 0
     is_unhealthy: bool = False
     named_limit: NamedLimit | None = None
+    is_leaving: bool = False
     awaits_first_answer: bool = False
     phase: BackendServerPhase = BackendServerPhase.SERVING
     due: float = NEVER
--- a/src/figlane/entities/server_notice.py
+++ b/src/figlane/entities/server_notice.py
@@ -10,10 +10,12 @@
     """What one answer says of the backend server that gave it.
 
     ``calls_per_second`` is the rate of calls that the server takes from all
-    nodes together, None if the answer names none.
+    nodes together, None if the answer names none. ``is_leaving`` is set if the
+    server is about to stop.
     """
 
     calls_per_second: float | None = None
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/src/figlane/platform/backend.py
+++ b/src/figlane/platform/backend.py
@@ -12,7 +12,9 @@
 from figlane.platform.quantities import parse_rate
 
 _MISDIRECTED = 421
+_LEAVING = b'1'
 _NO_NOTICE = ServerNotice()
+_LEAVING_NOTICE = ServerNotice(is_leaving=True)
 
 
 def read_server_notice(headers: Headers) -> ServerNotice | None:
@@ -21,13 +23,15 @@
     :param headers: headers with names in lower case.
     :return: None if they are malformed.
     """
+    leaving = names.find_value(headers, names.SERVER_LEAVING)
+    is_leaving = leaving.strip() == _LEAVING
     text = names.find_value(headers, names.SERVER_LIMIT)
     if not text:
-        return _NO_NOTICE
+        return _LEAVING_NOTICE if is_leaving else _NO_NOTICE
     try:
-        return ServerNotice(parse_rate(text))
+        return ServerNotice(parse_rate(text), is_leaving)
     except ValueError:
-        return None
+        return _LEAVING_NOTICE if is_leaving else None
 
 
 class PlatformDialect:
--- a/src/figlane/platform/headers.py
+++ b/src/figlane/platform/headers.py
@@ -24,6 +24,8 @@
 # Requests a second that the backend server takes from all nodes together, as
 # a decimal number, in its answers for as long as it holds.
 SERVER_LIMIT = b'server-limit'
+# 1 in all answers of a backend server that is about to stop.
+SERVER_LEAVING = b'server-leaving'
 # Set by a backend server that did not execute the request.
 NOT_EXECUTED = b'figlane-not-executed'
 RETRY_AFTER = b'retry-after'
--- a/src/figlane/systems/admission/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -7,6 +7,7 @@
 from figlane.entities.http import Answer, StreamedAnswer
 from figlane.entities.inbox import BackendAnnounced, BackendChecked
 from figlane.entities.outbox import LogDecision
+from figlane.entities.server_notice import ServerNotice
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
@@ -19,12 +20,13 @@
     request_health_check,
 )
 from figlane.systems.admission.latency import running_backend
-from figlane.systems.admission.named_limit import apply_notice
+from figlane.systems.admission.notices import apply_notice
 from figlane.systems.membership.states import publish_own_member
 from figlane.systems.registry import (
     Stage,
     execution_observers,
     inbox_handlers,
+    notice_observers,
     system,
 )
 
@@ -67,7 +69,8 @@
     timeout = max(ANNOUNCEMENT_TIMEOUT_SECONDS, _TIMEOUT_PERIODS * row.period)
     world.backend_servers.schedule(backend, now + timeout)
     needs_confirmation = not is_known and row.sequence > _FIRST_SEQUENCE
-    if row.draining or row.is_leaving:
+    # Announcements of a leaving server may still say that it is ready.
+    if row.draining or row.is_leaving or backend.is_leaving:
         _apply_announced_phase(world, backend, BackendServerPhase.DRAINING)
     elif now >= backend.ejected_until:
         _admit(world, backend, needs_confirmation=needs_confirmation)
@@ -237,6 +240,29 @@
         _change_phase(world, backend, BackendServerPhase.GONE)
 
 
+@notice_observers.register('leaving')
+def drain_leaving_server(
+    world: World,
+    backend: BackendServer,
+    notice: ServerNotice,
+    asked_at: float,
+    now: float,
+) -> None:
+    """Give a server that says that it leaves no more calls, until it restarts.
+
+    :param world: the tables.
+    :param backend: the backend server.
+    :param notice: what its answer says.
+    :param asked_at: when the request was sent, in seconds.
+    :param now: the present time in seconds.
+    """
+    if backend.is_leaving or not notice.is_leaving:
+        return
+    backend.is_leaving = True
+    world.counters['backend.leaving'] += 1
+    _apply_announced_phase(world, backend, BackendServerPhase.DRAINING)
+
+
 def _log_connection_failure(
     world: World, backend: BackendServer, failure: Refusal
 ) -> None:
--- a/src/figlane/systems/admission/named_limit.py
+++ b/src/figlane/systems/admission/named_limit.py
@@ -10,14 +10,10 @@
 
 from figlane.entities.backend_server import BackendServer
 from figlane.entities.outbox import LogDecision
-from figlane.entities.server_notice import (
-    BackendNoticed,
-    NamedLimit,
-    ServerNotice,
-)
+from figlane.entities.server_notice import NamedLimit, ServerNotice
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
-from figlane.systems.registry import inbox_handlers
+from figlane.systems.registry import notice_observers
 
 # Capacity of the bucket in seconds of the rate; one call at least.
 _BURST_SECONDS = 0.25
@@ -28,25 +24,8 @@
 FIRST_CALLS = 4
 
 
-@inbox_handlers.register(BackendNoticed)
-def handle_notice(world: World, row: BackendNoticed, now: float) -> None:
-    """Apply what an answer says of the server that gave it.
-
-    The row precedes the outcome of the execution.
-
-    :param world: the tables.
-    :param row: the execution and what its answer says.
-    :param now: the present time in seconds.
-    """
-    execution = world.executions.get(row.execution_id)
-    if execution is None:
-        return
-    backend = world.backend_servers.get(execution.backend_server_id)
-    if backend is not None:
-        apply_notice(world, backend, row.notice, execution.started_at, now)
-
-
-def apply_notice(
+@notice_observers.register('limit')
+def apply_named_limit(
     world: World,
     backend: BackendServer,
     notice: ServerNotice,
--- a/src/figlane/systems/registry.py
+++ b/src/figlane/systems/registry.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from figlane.entities.backend_server import BackendServer
+from figlane.entities.server_notice import ServerNotice
 from figlane.entities.world import World
 from figlane.registry import Registry, SystemRegistry
 
@@ -56,6 +58,11 @@
 execution_observers: Registry[Callable[..., None]] = Registry(
     'execution completion observer',
 )
+# Functions of the tables, a backend server, the notice in one of its answers,
+# when its request was sent, and the present time.
+notice_observers: Registry[
+    Callable[[World, BackendServer, ServerNotice, float, float], None]
+] = Registry('server notice observer')
 deadline_policies: Registry[Callable[..., Any]] = Registry('deadline policy')
 limit_policies: Registry[Callable[..., float]] = Registry('limit policy')
 cold_start_policies: Registry[Callable[..., None]] = Registry(
--- a/src/figlane/telemetry/names.py
+++ b/src/figlane/telemetry/names.py
@@ -49,6 +49,9 @@
     _counter(
         'backend.cold-call', 'calls started on a backend server in cold start'
     ),
+    _counter(
+        'backend.leaving', 'servers that said in an answer that they leave'
+    ),
     _counter(
         'backend.limit-named',
         'changes of the limit that the backend server names',
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -37,6 +37,24 @@
                 notice = PlatformDialect().read_notice(200, headers)
                 self.assertEqual(notice, expected)
 
+    def test_leaving(self) -> None:
+        """Only the value 1 tells that the server leaves."""
+        cases = (
+            (b'1', b'', ServerNotice(is_leaving=True)),
+            (b'1', b'2', ServerNotice(2, is_leaving=True)),
+            (b'1', b'soon', ServerNotice(is_leaving=True)),
+            (b'0', b'', ServerNotice()),
+            (b'', b'', ServerNotice()),
+        )
+        for leaving, limit, expected in cases:
+            with self.subTest(leaving=leaving, limit=limit):
+                headers = (
+                    (b'server-leaving', leaving),
+                    (b'server-limit', limit),
+                )
+                notice = PlatformDialect().read_notice(200, headers)
+                self.assertEqual(notice, expected)
+
     def test_misdirected(self) -> None:
         """What another server at the address says is not believed."""
         headers = ((b'server-limit', b'1'),)
@@ -69,3 +87,24 @@
 
     def _received(self, vm: PlatformVm) -> int:
         return len(vm.backend.request_log.requests)
+
+
+class LeavingTest(FleetTestCase):
+    """A fleet of whole nodes, one of whose two servers says that it leaves."""
+
+    async def test_leaving_server_gets_no_more_requests(self) -> None:
+        """It goes on announcing that it is ready; callers notice nothing."""
+        leaving = self.shop_vms[0].backend
+        leaving.notice_headers = ((b'server-leaving', b'1'),)
+        requests = leaving.request_log.requests
+        number = 0
+        while not requests:
+            number += 1
+            await self.call(f'/read/{number}')
+        await asyncio.sleep(0.5)
+        received = len(requests)
+        for later in range(60):
+            answer = await self.call(f'/read/later/{later}')
+            self.assertEqual(answer.status, 200)
+            await asyncio.sleep(0.05)
+        self.assertEqual(len(requests), received)
--- a/tests/systems/admission/test_announcement.py
+++ b/tests/systems/admission/test_announcement.py
@@ -11,6 +11,7 @@
 from figlane.entities.backend_server import BackendServerPhase
 from figlane.entities.inbox import BackendAnnounced, BackendChecked
 from figlane.entities.outbox import CheckBackend, WriteObject
+from figlane.entities.server_notice import BackendNoticed, ServerNotice
 from figlane.entities.service import Service
 from figlane.errors import ErrorKind, Refusal
 from figlane.systems.admission.announcement import ANNOUNCEMENT_TIMEOUT_SECONDS
@@ -43,6 +44,45 @@
         self._announce(2)
         self.assertEqual(self._written_service(), SERVICE)
 
+    def test_server_that_says_it_leaves_gets_no_calls(self) -> None:
+        """Later announcements that it is ready do not bring it back."""
+        self.node.offer()
+        running = self.node.tick(0)
+        notice = BackendNoticed(running[0].id, ServerNotice(is_leaving=True))
+        self.node.world.inbox.append(notice)
+        self.node.finish(running[0])
+        self.node.offer()
+        self.assertEqual(self.node.tick(0.1), [])
+        self.assertEqual(self._written_service(), '')
+        self.assertEqual(self._refusal_kinds()[-1], ErrorKind.DRAINING.value)
+        for now in (0.5, 1.0, 1.5):
+            self._announce(now)
+            self.node.offer()
+            self.assertEqual(self.node.tick(now + 0.1), [])
+        self._announce(2, instance='rotations-instance-2')
+        self.node.offer()
+        self.assertEqual(len(self.node.tick(2.1)), 1)
+
+    def test_restarted_node_hears_that_server_leaves(self) -> None:
+        """A node that has restarted hears from the health check that it leaves.
+
+        The announcements of the server do not say so.
+        """
+        for is_healthy in (True, False):
+            with self.subTest(is_healthy=is_healthy):
+                node = _node_with_health_path()
+                node.world.inbox.append(_announced_with_sequence(20))
+                node.tick(0)
+                notice = ServerNotice(is_leaving=True)
+                node.world.inbox.append(
+                    BackendChecked('late', 5, is_healthy, 0, notice)
+                )
+                for sequence in (21, 22):
+                    announced = _announced_with_sequence(sequence)
+                    node.world.inbox.append(announced)
+                    node.offer()
+                    self.assertEqual(node.tick(sequence - 20), [])
+
     def test_announcement_timeout(self) -> None:
         """A server whose announcements time out gets no new calls."""
         due = self.node.world.backend_servers.next_due()
