Let a health check lift no limit that a server has named

It could have lifted a limit for one round trip of all that waits. Found while the change was read; the new test failed before (no limit after a health check without one).

--- a/src/figlane/systems/admission/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -153,7 +153,9 @@
         cold_until = now + row.cold_seconds
         set_cold_until(world, backend, cold_until, now, 'health check')
     if row.notice is not None:
-        apply_notice(world, backend, row.notice, now, now)
+        # Health checks may lack what answers to calls say: they set a limit,
+        # and lift none.
+        apply_notice(world, backend, row.notice, -NEVER, now)
     if backend.phase is not BackendServerPhase.UNCONFIRMED:
         return
     backend.is_unhealthy = row.is_healthy is False
--- a/tests/systems/admission/test_named_limit.py
+++ b/tests/systems/admission/test_named_limit.py
@@ -88,6 +88,17 @@
         self.assertIsNotNone(backend.named_limit)
         self.assertGreater(model.run(2, None), 60)
 
+    def test_health_check_lifts_no_limit(self) -> None:
+        """A health check without a limit says nothing about calls."""
+        model = LimitedNode()
+        model.run(1, _RATE)
+        backend = model.node.world.backend_servers.by_id[BACKEND]
+        for notice in (ServerNotice(), ServerNotice(_RATE / 2)):
+            checked = BackendChecked(BACKEND, 0, True, 0, notice)
+            model.node.world.inbox.append(checked)
+            model.node.tick(model.now)
+        self.assertEqual(backend.named_limit.rate, _RATE / 2)
+
     def test_limit_of_zero_is_tried_again(self) -> None:
         """Few calls find out when a server takes calls again."""
         model = LimitedNode()
