--- a/src/figlane/systems/admission/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -7,26 +7,25 @@
 from figlane.entities.http import Answer, StreamedAnswer
 from figlane.entities.inbox import BackendAnnounced, BackendChecked
 from figlane.entities.outbox import LogDecision
-from figlane.entities.server_notice import ServerNotice
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
 from figlane.systems.admission.cold_rate import set_cold_until
-from figlane.systems.admission.cold_start import restart_ramp
-from figlane.systems.admission.concurrency_limit import concurrency_limit
 from figlane.systems.admission.health_checks import (
     health_path,
     request_health_check,
 )
 from figlane.systems.admission.latency import running_backend
 from figlane.systems.admission.notices import apply_notice
-from figlane.systems.membership.states import publish_own_member
+from figlane.systems.admission.server_phase import (
+    apply_announced_phase,
+    change_phase,
+)
 from figlane.systems.registry import (
     Stage,
     execution_observers,
     inbox_handlers,
-    notice_observers,
     system,
 )
 
@@ -71,7 +70,7 @@
     needs_confirmation = not is_known and row.sequence > _FIRST_SEQUENCE
     # Announcements of a leaving server may still say that it is ready.
     if row.draining or row.is_leaving or backend.is_leaving:
-        _apply_announced_phase(world, backend, BackendServerPhase.DRAINING)
+        apply_announced_phase(world, backend, BackendServerPhase.DRAINING)
     elif now >= backend.ejected_until:
         _admit(world, backend, needs_confirmation=needs_confirmation)
 
@@ -97,19 +96,7 @@
     if needs_confirmation or backend.is_unhealthy:
         _request_confirmation(world, backend)
         return
-    _apply_announced_phase(world, backend, BackendServerPhase.SERVING)
-
-
-def _apply_announced_phase(
-    world: World,
-    backend: BackendServer,
-    phase: BackendServerPhase,
-) -> None:
-    if backend.phase is phase:
-        return
-    if backend.phase is BackendServerPhase.GONE:
-        restart_ramp(world, backend)
-    _change_phase(world, backend, phase)
+    apply_announced_phase(world, backend, BackendServerPhase.SERVING)
 
 
 def _request_confirmation(world: World, backend: BackendServer) -> None:
@@ -160,7 +147,7 @@
         return
     backend.is_unhealthy = row.is_healthy is False
     if row.is_healthy:
-        _change_phase(world, backend, BackendServerPhase.SERVING)
+        change_phase(world, backend, BackendServerPhase.SERVING)
 
 
 def _is_outdated(world: World, row: BackendAnnounced) -> bool:
@@ -205,7 +192,7 @@
     """
     for backend in world.backend_servers.pop_due(now):
         world.counters['backend.silent'] += 1
-        _change_phase(world, backend, BackendServerPhase.GONE)
+        change_phase(world, backend, BackendServerPhase.GONE)
 
 
 @execution_observers.register('announcement')
@@ -239,30 +226,7 @@
     backend.ejected_until = now + _EJECTION_SECONDS
     if backend.phase is BackendServerPhase.SERVING:
         world.counters['backend.refused'] += 1
-        _change_phase(world, backend, BackendServerPhase.GONE)
-
-
-@notice_observers.register('leaving')
-def drain_leaving_server(
-    world: World,
-    backend: BackendServer,
-    notice: ServerNotice,
-    asked_at: float,
-    now: float,
-) -> None:
-    """Give a server that says that it leaves no more calls, until it restarts.
-
-    :param world: the tables.
-    :param backend: the backend server.
-    :param notice: what its answer says.
-    :param asked_at: when the request was sent, in seconds.
-    :param now: the present time in seconds.
-    """
-    if backend.is_leaving or not notice.is_leaving:
-        return
-    backend.is_leaving = True
-    world.counters['backend.leaving'] += 1
-    _apply_announced_phase(world, backend, BackendServerPhase.DRAINING)
+        change_phase(world, backend, BackendServerPhase.GONE)
 
 
 def _log_connection_failure(
@@ -277,32 +241,3 @@
         'announced_at': backend.announced_at,
     }
     world.outbox.append(LogDecision('backend_connection_failed', inputs))
-
-
-def _change_phase(
-    world: World,
-    backend: BackendServer,
-    phase: BackendServerPhase,
-) -> None:
-    backend.limit = concurrency_limit(backend)
-    world.outbox.append(
-        LogDecision(
-            'backend_server_changed',
-            {
-                'backend_server': backend.id,
-                'service': backend.service_id,
-                'before': backend.phase.value,
-                'after': phase.value,
-                'born': backend.born,
-                'sequence': backend.sequence,
-                'announced_at': backend.announced_at,
-                'cold_until': backend.cold_until,
-            },
-        ),
-    )
-    if backend.phase is BackendServerPhase.UNCONFIRMED:
-        # An earlier start of this node may have known a limit that the server
-        # names in its answers only.
-        backend.awaits_first_answer = True
-    world.backend_servers.move(backend, phase)
-    publish_own_member(world)
