Count a server as cold until it is surely warm

Cause: the rest of a cold start is announced in whole milliseconds, rounded down. Up to a millisecond before the server was warm, the next tick started all calls that had waited, as many as there were slots.

Change: a server counts as cold for 50 ms after the announced end.

--- a/src/figlane/systems/admission/cold_rate.py
+++ b/src/figlane/systems/admission/cold_rate.py
@@ -16,6 +16,10 @@
 # Fraction of the configured rate that is used; the rest is a margin for the
 # difference between the clocks of this node and of the server.
 _RATE_FRACTION = 0.85
+# Time after the announced end for which a server counts as cold. The rest of a
+# cold start is announced in whole milliseconds, and calls that wait start all
+# at once when it ends.
+_END_MARGIN_SECONDS = 0.05
 # Capacity of the bucket in calls.
 _BURST_CALLS = 3.0
 
@@ -61,6 +65,16 @@
     return now + (1 - backend.cold_tokens) / rate if is_limited else NEVER
 
 
+def cold_end(cold_seconds: float, now: float) -> float:
+    """Compute when a server is surely warm.
+
+    :param cold_seconds: the rest of its cold start, as it has just told.
+    :param now: the present time in seconds.
+    :return: the time in seconds, the present one if it is warm.
+    """
+    return now + cold_seconds + _END_MARGIN_SECONDS if cold_seconds else now
+
+
 def set_cold_until(
     world: World,
     backend: BackendServer,
