--- a/src/figlane/systems/admission/announcement.py
+++ b/src/figlane/systems/admission/announcement.py
@@ -83,7 +83,7 @@
         request_health_check(world, backend)
         return
     backend.is_warmth_doubted = False
-    cold_until = cold_end(row.cold_seconds, now)
+    cold_until = cold_end(backend, row.cold_seconds, now)
     set_cold_until(world, backend, cold_until, now, 'announcement')
 
 
@@ -137,7 +137,7 @@
         return
     if row.cold_seconds is not None:
         backend.is_warmth_doubted = False
-        cold_until = cold_end(row.cold_seconds, now)
+        cold_until = cold_end(backend, row.cold_seconds, now)
         set_cold_until(world, backend, cold_until, now, 'health check')
     if row.notice is not None:
         # Health checks may lack what answers to calls say: they set a limit,
--- a/src/figlane/systems/admission/cold_rate.py
+++ b/src/figlane/systems/admission/cold_rate.py
@@ -65,14 +65,17 @@
     return now + (1 - backend.cold_tokens) / rate if is_limited else NEVER
 
 
-def cold_end(cold_seconds: float, now: float) -> float:
+def cold_end(backend: BackendServer, cold_seconds: float, now: float) -> float:
     """Compute when a server is surely warm.
 
+    :param backend: the backend server.
     :param cold_seconds: the rest of its cold start, as it has just told.
     :param now: the present time in seconds.
-    :return: the time in seconds, the present one if it is warm.
+    :return: the time in seconds, the present one if it was warm and is.
     """
-    return now + cold_seconds + _END_MARGIN_SECONDS if cold_seconds else now
+    if not cold_seconds and now >= backend.cold_until:
+        return now
+    return now + cold_seconds + _END_MARGIN_SECONDS
 
 
 def set_cold_until(
