--- a/tests/systems/admission/test_named_limit.py
+++ b/tests/systems/admission/test_named_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import dataclass, field
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -22,17 +23,16 @@
 _SLACK_CALLS = 5
 
 
+@dataclass(slots=True)
 class LimitedNode:
-    """A node under three times the load that its server's limit allows.
+    """A node whose server has not named a limit yet.
 
     ``starts`` holds the time of each call that was started.
     """
 
-    def __init__(self) -> None:
-        """Start the node; its server has not named a limit yet."""
-        self.node = ExitNode(slots=200)
-        self.now = 10.0
-        self.starts: list[float] = []
+    node: ExitNode = field(default_factory=lambda: ExitNode(slots=200))
+    now: float = 10.0
+    starts: list[float] = field(default_factory=list)
 
     def run(
         self, seconds: float, named: float | None, calls_per_step: int = 2
