Make the test of health checks and named limits see a lifted limit

The test now checks after each notice. On the sources before it fails (no limit after a health check without one), and it passes now. Only the test changes.

--- a/tests/systems/admission/test_named_limit.py
+++ b/tests/systems/admission/test_named_limit.py
@@ -93,11 +93,18 @@
         model = LimitedNode()
         model.run(1, _RATE)
         backend = model.node.world.backend_servers.by_id[BACKEND]
-        for notice in (ServerNotice(), ServerNotice(_RATE / 2)):
-            checked = BackendChecked(BACKEND, 0, True, 0, notice)
-            model.node.world.inbox.append(checked)
-            model.node.tick(model.now)
-        self.assertEqual(backend.named_limit.rate, _RATE / 2)
+        cases = (
+            (ServerNotice(), _RATE),
+            (ServerNotice(_RATE / 2), _RATE / 2),
+        )
+        for notice, expected in cases:
+            with self.subTest(notice=notice):
+                checked = BackendChecked(BACKEND, 0, True, 0, notice)
+                model.node.world.inbox.append(checked)
+                model.node.tick(model.now)
+                limit = backend.named_limit
+                self.assertIsNotNone(limit)
+                self.assertEqual(limit.rate, expected)
 
     def test_limit_of_zero_is_tried_again(self) -> None:
         """Few calls find out when a server takes calls again."""
