--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -551,8 +551,8 @@
     return answer
 
 
-async def read_answer(reader, answer: Answer, rate: float = 0) -> None:
-    """Read an answer; ``rate`` limits the reading in bytes a second."""
+async def read_answer(reader, answer: Answer, pace=lambda: 0) -> None:
+    """Read an answer; ``pace`` returns the bytes a second, 0 for no limit."""
     head = await read_head(reader)
     if head is None:
         answer.reason = 'the connection was closed without an answer'
@@ -562,23 +562,24 @@
     if answer.headers.get('transfer-encoding') == 'chunked':
         while True:
             size = int((await reader.readline()).strip() or b'0', 16)
-            await _read_paced(reader, answer, size, rate)
+            await _read_paced(reader, answer, size, pace)
             await reader.readexactly(2)
             if not size:
                 break
     else:
         length = int(answer.headers.get('content-length', '0'))
-        await _read_paced(reader, answer, length, rate)
+        await _read_paced(reader, answer, length, pace)
     answer.is_complete = True
 
 
-async def _read_paced(reader, answer: Answer, size: int, rate: float) -> None:
+async def _read_paced(reader, answer: Answer, size: int, pace) -> None:
     while size:
         part = await reader.read(min(size, 16_384))
         if not part:
             raise asyncio.IncompleteReadError(b'', size)
         size -= len(part)
         answer.body_bytes += len(part)
+        rate = pace()
         if rate:
             await asyncio.sleep(len(part) / rate)
 
