--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -166,6 +166,7 @@
         self.work_seconds = 0.02
         self.answer_bytes = 400
         self.send_seconds = 0.0
+        self.draw_work = None
         self.born = time.time_ns() // 1_000_000
         self.sequence = 0
         self.address = ''
@@ -269,7 +270,8 @@
             f'from {headers.get("figlane-caller-service")}, '
             f'deadline {headers.get("figlane-deadline-ms")}'
         )
-        await asyncio.sleep(self.work_seconds)
+        seconds = self.draw_work() if self.draw_work else self.work_seconds
+        await asyncio.sleep(seconds)
         await self.respond(request_id, writer)
 
     async def respond(self, request_id: str, writer) -> None:
