review: case 1, a copy of a rejection makes unsafe requests run twice (TWICE)

Cause: an answer is matched to an attempt by the id of the request, which all attempts of a call share, and the next attempt goes out on the connection of the rejected one. A late second copy of the rejection is then taken for the answer of an attempt that is running.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,127 +1,134 @@
-"""Downloads are cut off when a client sends a body of 20 MiB (LOST).
+"""A second copy of a rejection makes an unsafe request run twice (TWICE).
 
-The operator's limit for bodies is 64 MiB. With ``TROUBLE=0`` the bodies have
-10 MiB, and all else is the same.
+The backend of a service rejects each request once, as it is full, and runs it
+when it comes again. After each rejection it also sends a second copy of it,
+up to 0.3 s later. With ``TROUBLE=0`` it sends no second copies.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
 
 from deployment import (  # noqa: E402
     HOST,
-    Answer,
     Backend,
     Deployment,
-    Node,
+    Head,
+    Reader,
     Record,
+    Writer,
     ask,
     configuration,
-    connect,
-    read_answer,
-    request_bytes,
     run_case,
 )
 
-DOWNLOADS = 30
-DOWNLOAD_BYTES = 3_000_000
-DOWNLOAD_SECONDS = 2.5
-UPLOADS = 3
-MIB = 1 << 20
-# The rule allows this many.
-ALLOWED = 3
+REQUESTS = 40
+# Requests before each of them that are not rejected.
+OTHERS = 8
+WORK_SECONDS = 0.3
+SHORT_WORK_SECONDS = 0.01
+MAX_DELAY_SECONDS = 0.3
+PROMISES = (408, 421, 429, 503)
+SEED = 5
 
 
-class MediaBackend(Backend):
-    """Sends the large file in 2.5 s, at an even pace."""
+class FullBackend(Backend):
+    """Rejects each request at its first arrival."""
 
-    async def respond(self, request_id: str, writer) -> None:
-        is_large = not request_id.endswith('-first')
-        self.answer_bytes = DOWNLOAD_BYTES if is_large else 400
-        self.send_seconds = DOWNLOAD_SECONDS if is_large else 0
-        await super().respond(request_id, writer)
+    sends_copies = True
+    rejected: set[str] = set()
+    tasks: set[asyncio.Task[None]] = set()
+    random = random.Random(SEED)
 
+    async def _handle(self, head: Head, reader: Reader, writer: Writer) -> None:
+        name = head[1].get('figlane-request-id', '')
+        is_other = name.startswith('other')
+        self.work_seconds = SHORT_WORK_SECONDS if is_other else WORK_SECONDS
+        if not name.startswith('request') or name in self.rejected:
+            await super()._handle(head, reader, writer)
+            return
+        self.rejected.add(name)
+        rejection = (
+            b'HTTP/1.1 503 Service Unavailable\r\nfiglane-request-id: %b\r\n'
+            b'figlane-not-executed: 1\r\ncontent-length: 0\r\n\r\n'
+            % name.encode()
+        )
+        writer.write(rejection)
+        self.record(f'rejected {name} at {self.id}')
+        if self.sends_copies:
+            copy = asyncio.create_task(self._copy(name, rejection, writer))
+            self.tasks.add(copy)
+            copy.add_done_callback(self.tasks.discard)
 
-async def download(record: Record, node: Node, name: str) -> Answer:
-    """Send two requests on one connection; return the answer to the second."""
-    reader, writer = await connect(node.outbound)
-    writer.write(request_bytes(f'{name}-first', '/media/small'))
-    first = Answer()
-    await read_answer(reader, first)
-    record(f'got {name}-first: {first}')
-    started = time.monotonic()
-    answer = Answer()
-    record(f'sent {name} to {node.outbound} on the same connection')
-    try:
-        async with asyncio.timeout(6):
-            writer.write(request_bytes(name, '/media/large'))
-            await read_answer(reader, answer)
-    except TimeoutError:
-        answer.reason = 'no complete answer 1 s after the time limit'
-    except (OSError, asyncio.IncompleteReadError, ValueError):
-        answer.reason = 'the node closed the connection'
-    writer.close()
-    answer.seconds = time.monotonic() - started
-    record(f'got {name}: {answer}')
-    return answer
+    async def _copy(self, name: str, rejection: bytes, writer: Writer) -> None:
+        await asyncio.sleep(self.random.uniform(0, MAX_DELAY_SECONDS))
+        if writer.is_closing():
+            return
+        with contextlib.suppress(OSError):
+            writer.write(rejection)
+            self.record(f'second copy of the rejection of {name}')
 
 
 async def main(record: Record, has_trouble: bool) -> int:
-    deployment = Deployment(record, [('waco', 'media'), ('temple', 'bank')])
-    media_node, bank_node = deployment.nodes
-    media_node.backend.__class__ = MediaBackend
+    deployment = Deployment(record, [('waco', 'bank'), ('temple', 'shop')])
+    bank_node, entry_node = deployment.nodes
+    backend = bank_node.backend
+    backend.__class__ = FullBackend
+    backend.sends_copies = has_trouble
     routes = [
-        ['r1', HOST, '/media/', 'download', '5s', '1s', 2, 2, False, 'media'],
-        ['r2', HOST, '/book/', 'unsafe', '5s', '1s', 0, 2, False, 'bank'],
+        ['r1', HOST, '/book/', 'unsafe', '5s', '1s', 0, 2, False, 'bank'],
+        ['r2', HOST, '/pay/', 'unsafe', '5s', '1s', 0, 3, False, 'bank'],
     ]
+    answers = {}
     try:
-        await deployment.start(configuration(routes, ['media', 'bank']))
+        await deployment.start(configuration(routes, ['bank', 'shop']))
         if not await deployment.wait_ready():
             record('the nodes are not ready')
             return 2
-        downloads = [
-            asyncio.create_task(download(record, bank_node, f'download-{n}'))
-            for n in range(DOWNLOADS)
-        ]
-        await asyncio.sleep(0.8)
-        uploads = []
-        for number in range(UPLOADS):
-            size = (20 if has_trouble else 10) * MIB
-            upload = ask(
-                record,
-                media_node.outbound,
-                f'upload-{number}',
-                '/book/1',
-                'POST',
-                size,
+        for number in range(REQUESTS):
+            path = ('/book/1', '/pay/1')[number % 2]
+            name = f'request-{number}'
+            others = [
+                ask(
+                    record,
+                    entry_node.outbound,
+                    f'other-{number}-{n}',
+                    path,
+                    'POST',
+                )
+                for n in range(OTHERS)
+            ]
+            await asyncio.gather(*others)
+            answers[name] = await ask(
+                record, entry_node.outbound, name, path, 'POST'
             )
-            uploads.append(asyncio.create_task(upload))
-            await asyncio.sleep(0.4)
-        answers = await asyncio.gather(*downloads)
-        await asyncio.gather(*uploads)
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1)
     finally:
         await deployment.stop()
-    for node in deployment.nodes:
-        if node.starts != 1:
-            return 2
-    ran = media_node.backend.run_count_by_id
-    lost = [
-        answer
-        for number, answer in enumerate(answers)
-        if f'download-{number}' in ran
-        and not answer.is_complete
-        and answer.seconds < 4.5
+    ran = backend.run_count_by_id
+    twice = [name for name in answers if ran.get(name, 0) > 1]
+    broken_promises = [
+        name
+        for name, answer in answers.items()
+        if answer.status in PROMISES and name in ran
     ]
+    statuses: dict[int, int] = {}
+    for answer in answers.values():
+        statuses[answer.status] = statuses.get(answer.status, 0) + 1
+    record(f'answers by status: {statuses}')
+    record(f'TWICE: {len(twice)} of {len(answers)} unsafe requests ran twice')
     record(
-        f'{len(lost)} of {DOWNLOADS} requests on kept connections were passed '
-        f'on and cut off without a whole answer; {ALLOWED} are allowed'
+        f'REFUSED: {len(broken_promises)} of {len(answers)} were answered as not '
+        'run and have run'
     )
-    return int(len(lost) > ALLOWED)
+    return int(bool(twice))
 
 
 if __name__ == '__main__':
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -17,7 +17,9 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable, Coroutine
 from pathlib import Path
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -25,6 +27,12 @@
 KEY = 'key-of-acme'
 HEARTBEAT_SECONDS = 1.5
 
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+# First line and headers of a message.
+Head = tuple[str, dict[str, str]]
+Pace = Callable[[], float]
+
 
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
@@ -53,7 +61,7 @@
         self.address = f'{ip}:{port}'
         self.server = await asyncio.start_server(self._serve, ip, port)
 
-    def write(self, kind: str, name: str, spec) -> dict:
+    def write(self, kind: str, name: str, spec: Any) -> dict:
         current = self.by_key.get((kind, name))
         if current is not None and current['spec'] == spec:
             return current
@@ -85,7 +93,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def _serve(self, reader, writer) -> None:
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await read_head(reader)
@@ -104,7 +112,9 @@
                 await writer.drain()
         writer.close()
 
-    async def _answer(self, method: str, target: str, body: bytes):
+    async def _answer(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, Any]:
         url = urlsplit(target)
         query = {key: got[0] for key, got in parse_qs(url.query).items()}
         parts = url.path.strip('/').split('/')[1:]
@@ -138,7 +148,7 @@
             return 200, {}
         return 200, self.write(kind, name, document.get('spec'))
 
-    async def _watch(self, kind: str, query: dict[str, str]):
+    async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
         after = int(query['watch'])
         ends = time.monotonic() + int(query.get('wait_ms', '0')) / 1000
         while True:
@@ -157,7 +167,9 @@
 class Backend:
     """A backend server: echoes the request id, seals its answers, pings."""
 
-    def __init__(self, record: Record, name: str, service: str, zone: str):
+    def __init__(
+        self, record: Record, name: str, service: str, zone: str
+    ) -> None:
         self.record = record
         self.id = f'i-{name}'
         self.service = service
@@ -228,7 +240,7 @@
                 await self.ping()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    async def _serve(self, reader, writer) -> None:
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await read_head(reader)
@@ -237,7 +249,7 @@
                 await self._handle(head, reader, writer)
         writer.close()
 
-    async def _handle(self, head, reader, writer) -> None:
+    async def _handle(self, head: Head, reader: Reader, writer: Writer) -> None:
         line, headers = head
         length = int(headers.get('content-length', '0'))
         received = 0
@@ -274,7 +286,7 @@
         await asyncio.sleep(seconds)
         await self.respond(request_id, writer)
 
-    async def respond(self, request_id: str, writer) -> None:
+    async def respond(self, request_id: str, writer: Writer) -> None:
         body = request_id.encode().ljust(self.answer_bytes, b'.')
         writer.write(
             b'HTTP/1.1 200 OK\r\nfiglane-request-id: %b\r\n'
@@ -293,7 +305,9 @@
 class Node:
     """A node process and its settings file."""
 
-    def __init__(self, deployment: Deployment, index: int, zone: str, svc: str):
+    def __init__(
+        self, deployment: Deployment, index: int, zone: str, svc: str
+    ) -> None:
         self.deployment = deployment
         self.name = f'sidecar-{zone}-{index}'
         self.zone = zone
@@ -424,14 +438,17 @@
 class Deployment:
     """The store, the nodes and the backend servers beside them."""
 
-    def __init__(self, record: Record, machines, memory_mb: int = 300) -> None:
+    def __init__(
+        self,
+        record: Record,
+        machines: list[tuple[str, str]],
+        memory_mb: int = 300,
+    ) -> None:
         self.record = record
         self.memory_mb = memory_mb
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.store = Store()
-        names = (
-            'outbound inbound ready control app peer metrics store'.split()
-        )
+        names = 'outbound inbound ready control app peer metrics store'.split()
         self.ports = dict(zip(names, free_ports(len(names)), strict=True))
         self.nodes: list[Node] = []
         for index, (zone, service) in enumerate(machines):
@@ -506,9 +523,9 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
-async def connect(address: str, source: str = '', limit: int = 1 << 16):
+async def connect(address: str) -> tuple[Reader, Writer]:
     ip, port = address.split(':')
-    return await asyncio.open_connection(ip, int(port), limit=limit)
+    return await asyncio.open_connection(ip, int(port))
 
 
 async def ask(
@@ -553,7 +570,9 @@
     return answer
 
 
-async def read_answer(reader, answer: Answer, pace=lambda: 0) -> None:
+async def read_answer(
+    reader: Reader, answer: Answer, pace: Pace = lambda: 0
+) -> None:
     """Read an answer; ``pace`` returns the bytes a second, 0 for no limit."""
     head = await read_head(reader)
     if head is None:
@@ -574,7 +593,9 @@
     answer.is_complete = True
 
 
-async def _read_paced(reader, answer: Answer, size: int, pace) -> None:
+async def _read_paced(
+    reader: Reader, answer: Answer, size: int, pace: Pace
+) -> None:
     while size:
         part = await reader.read(min(size, 16_384))
         if not part:
@@ -586,7 +607,7 @@
             await asyncio.sleep(len(part) / rate)
 
 
-async def read_head(reader):
+async def read_head(reader: Reader) -> Head | None:
     try:
         raw = await reader.readuntil(b'\r\n\r\n')
     except asyncio.IncompleteReadError as error:
@@ -602,21 +623,31 @@
     return line, headers
 
 
-def configuration(routes, services, version: int = 1, **limits) -> dict:
+def configuration(routes: list[list[Any]], services: list[str]) -> dict:
     """Build a configuration as the operator writes it."""
     return {
-        'version': version,
+        'version': 1,
         'routes': {
             'columns': [
-                'name', 'host', 'path_prefix', 'kind', 'timeout',
-                'target_latency', 'priority', 'max_attempts',
-                'allow_anonymous', 'service',
+                'name',
+                'host',
+                'path_prefix',
+                'kind',
+                'timeout',
+                'target_latency',
+                'priority',
+                'max_attempts',
+                'allow_anonymous',
+                'service',
             ],
             'rows': routes,
         },
         'services': {
             'columns': [
-                'name', 'health_path', 'max_connections', 'cold_start',
+                'name',
+                'health_path',
+                'max_connections',
+                'cold_start',
                 'cold_per_s',
             ],
             'rows': [[name, '/health', 940, '3s', 30.0] for name in services],
@@ -626,7 +657,6 @@
             'max_body_bytes': 67_108_864,
             'header_timeout': '3000ms',
             'idle_timeout': '15000ms',
-            **limits,
         },
         'tenants': {
             'columns': ['name', 'api_keys', 'rate_per_s', 'burst'],
@@ -671,7 +701,9 @@
     return values.get('VmRSS', 0.0), values.get('VmHWM', 0.0)
 
 
-def run_case(main) -> None:
+def run_case(
+    main: Callable[[Record, bool], Coroutine[Any, Any, int]],
+) -> None:
     """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2."""
     folder = Path(sys.argv[1]).resolve()
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
