--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,8 @@
 """A planned stop cuts off requests that it has just taken (LOST).
 
-Two nodes, all of one zone, get SIGTERM at the same time. The clients beside
-them keep sending, since fewer than half of the zone's nodes are in. With
-``TROUBLE=0`` there is no SIGTERM.
+The two nodes of a zone get SIGTERM, one after the other, 1 s apart. The clients
+beside them get no new work after two misses of their node, unless fewer than
+half of the zone's nodes are in. With ``TROUBLE=0`` there is no SIGTERM.
 """
 
 from __future__ import annotations
@@ -39,7 +39,9 @@
 # The rule excuses long work only for requests that were sent no later than
 # this after the SIGTERM.
 EXCUSED_SECONDS = 3.0
-RUN_SECONDS = 1.5 + GRACE_SECONDS
+# The pause between the stops of two machines in the site.
+GAP_SECONDS = 1.0
+RUN_SECONDS = 1.5 + GAP_SECONDS + GRACE_SECONDS
 
 
 _random = random.Random(SEED)
@@ -49,11 +51,41 @@
     return _random.uniform(MIN_WORK_SECONDS, MAX_WORK_SECONDS)
 
 
+class Zone:
+    """The platform's readiness checks of the nodes of one zone."""
+
+    def __init__(self, record: Record, nodes: list[Node]) -> None:
+        self.record = record
+        self.misses_by_name = {node.name: 0 for node in nodes}
+        self.nodes = nodes
+
+    async def check(self) -> None:
+        """Ask each node once a second."""
+        while True:
+            for node in self.nodes:
+                is_ready = await node.is_ready()
+                misses = self.misses_by_name[node.name]
+                self.misses_by_name[node.name] = 0 if is_ready else misses + 1
+                if misses == 1 and not is_ready:
+                    self.record(f'{node.name} is out')
+            await asyncio.sleep(1)
+
+    def gets_work(self, node: Node) -> bool:
+        """Tell whether the clients beside a node get new work."""
+        count_in = sum(misses < 2 for misses in self.misses_by_name.values())
+        if 2 * count_in < len(self.nodes):
+            return True
+        return self.misses_by_name[node.name] < 2
+
+
 class Client:
     """Sends unsafe requests, one at a time, on connections that it keeps."""
 
-    def __init__(self, record: Record, node: Node, name: str) -> None:
+    def __init__(
+        self, record: Record, zone: Zone, node: Node, name: str
+    ) -> None:
         self.record = record
+        self.zone = zone
         self.node = node
         self.name = name
         # Name, time of sending and answer of each request.
@@ -63,6 +95,9 @@
 
     async def run(self, ends_at: float) -> None:
         while time.monotonic() < ends_at:
+            if not self.zone.gets_work(self.node):
+                await asyncio.sleep(0.05)
+                continue
             try:
                 if self.writer is None:
                     self.reader, self.writer = await connect(self.node.outbound)
@@ -102,9 +137,14 @@
         self.reader = self.writer = None
 
 
-async def stop(record: Record, node: Node, term_at: float) -> None:
-    """Send SIGTERM, and SIGKILL after ``grace``."""
+async def stop(
+    record: Record, node: Node, delay: float, term_at_by_name: dict[str, float]
+) -> None:
+    """Send SIGTERM after a delay, and SIGKILL after ``grace``."""
+    await asyncio.sleep(delay)
     node.signal(signal.SIGTERM)
+    term_at = time.monotonic()
+    term_at_by_name[node.name] = term_at
     try:
         async with asyncio.timeout(GRACE_SECONDS):
             await node.process.wait()
@@ -121,6 +161,7 @@
         ['r1', HOST, '/book/', 'unsafe', '5s', '1s', 0, 2, False, 'bank'],
     ]
     stopped = deployment.nodes[:2]
+    term_at_by_name: dict[str, float] = {}
     backends = [node.backend for node in deployment.nodes[2:]]
     for backend in backends:
         backend.draw_work = draw_work
@@ -129,8 +170,10 @@
         if not await deployment.wait_ready():
             record('the nodes are not ready')
             return 2
+        zone = Zone(record, stopped)
+        checks = asyncio.create_task(zone.check())
         clients = [
-            Client(record, node, f'{node.name}-{number}')
+            Client(record, zone, node, f'{node.name}-{number}')
             for node in stopped
             for number in range(CLIENTS)
         ]
@@ -141,23 +184,31 @@
             # The clients aren't in step.
             await asyncio.sleep(MIN_WORK_SECONDS / len(clients))
         await asyncio.sleep(0.5)
-        term_at = time.monotonic()
         if has_trouble:
             await asyncio.gather(
-                *(stop(record, node, term_at) for node in stopped)
+                *(
+                    stop(record, node, index * GAP_SECONDS, term_at_by_name)
+                    for index, node in enumerate(stopped)
+                )
             )
         await asyncio.gather(*runs)
+        checks.cancel()
     finally:
         await deployment.stop()
     ran = {name for backend in backends for name in backend.run_count_by_id}
-    requests = [request for client in clients for request in client.requests]
+    requests = [
+        (client.node.name, *request)
+        for client in clients
+        for request in client.requests
+    ]
     lost = [
-        (name, sent_at - term_at)
-        for name, sent_at, answer in requests
+        (name, sent_at - term_at_by_name[node_name])
+        for node_name, name, sent_at, answer in requests
         if name in ran
         and not answer.is_complete
         and answer.seconds < TIME_LIMIT_SECONDS - 0.1
-        and sent_at > term_at + EXCUSED_SECONDS
+        and node_name in term_at_by_name
+        and sent_at > term_at_by_name[node_name] + EXCUSED_SECONDS
     ]
     for name, seconds in lost:
         record(f'lost {name}, sent {seconds:.2f} s after SIGTERM, has run')
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -12,6 +12,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -481,6 +482,7 @@
                     node.process.send_signal(signal.SIGCONT)
                     node.process.kill()
                 await node.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Answer:
