--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,8 +29,9 @@
 )
 
 REQUESTS = 40
-# Requests before each of them that are not rejected.
-OTHERS = 8
+# Requests before each of them that are not rejected, so that the second copies
+# are fewer than 0.03 of the server's answers, the largest dose of the site.
+OTHERS = 40
 WORK_SECONDS = 0.3
 SHORT_WORK_SECONDS = 0.01
 MAX_DELAY_SECONDS = 0.3
