Wait for callers that read slowly before a planned stop ends

Cause: a call ends in the tables when the entry node has all of its answer. The node then counted as drained, and its interface gave the connections 0.4 s, whatever was left of the grace period.

Change: the interface waits for connections with an open or unsent answer until 0.4 s before the grace period ends. A second request to stop still ends the node at once. The drain itself ends 0.2 s before that.

--- a/src/figlane/platform/interface.py
+++ b/src/figlane/platform/interface.py
@@ -33,11 +33,11 @@
 from figlane.platform.settings import PlatformSettings
 from figlane.settings import split_address
 
-# Part of the grace period that is reserved for the shutdown of the process
-# after the last call, in seconds, and part of it in which requests that arrive
-# after the drain are answered.
-_EXIT_RESERVE_SECONDS = 0.8
-_STOP_SECONDS = 0.4
+# Parts of the grace period, in seconds: the last one is reserved for the end of
+# the process, and the one before it for the answers that are left after the
+# drain.
+_EXIT_SECONDS = 0.4
+_LAST_ANSWERS_SECONDS = 0.2
 
 
 class PlatformInterface:
@@ -50,9 +50,11 @@
         '_entry_server',
         '_feed',
         '_health_checker',
+        '_loop',
         '_metrics_server',
         '_servers',
         '_settings',
+        '_stops_by',
         '_store',
     )
 
@@ -67,7 +69,9 @@
         loop = context.loop
         deliver = context.deliver
         self._settings = settings
+        self._loop = loop
         self._deliver = deliver
+        self._stops_by: float | None = None
         self._store = ObjectStore(loop, settings.store)
         self._feed = StoreFeed(self._store, loop, deliver)
         self._backend_client = BackendClient(loop, deliver, PlatformDialect())
@@ -125,8 +129,14 @@
         await self._metrics_server.start(host, self._settings.metrics_port)
 
     async def stop(self) -> None:
-        """Close the listening sockets after the requests that have arrived."""
-        await self._entry_server.stop(_STOP_SECONDS)
+        """Close the listening sockets once all callers have their answers.
+
+        Callers that read slowly are waited for within the grace period.
+        """
+        stops_by = self._stops_by or 0
+        await self._entry_server.stop(
+            max(_LAST_ANSWERS_SECONDS, stops_by - self._loop.time())
+        )
         for server, _ in self._servers:
             server.close()
         self._metrics_server.close()
@@ -139,13 +149,19 @@
         self._store.close()
 
     def request_shutdown(self) -> None:
-        """Request a graceful shutdown within the grace period."""
-        drain_seconds = max(
-            0, self._settings.grace_seconds - _EXIT_RESERVE_SECONDS
-        )
+        """Request a graceful shutdown within the grace period.
+
+        A second request leaves only the time for the last answers.
+        """
+        now = self._loop.time()
+        seconds = max(0, self._settings.grace_seconds - _EXIT_SECONDS)
+        is_repeated = self._stops_by is not None
+        self._stops_by = now if is_repeated else now + seconds
         self._deliver(
             DrainRequested(
-                drain_seconds, stops_process=True, accepts_root_calls=True
+                max(0, seconds - _LAST_ANSWERS_SECONDS),
+                stops_process=True,
+                accepts_root_calls=True,
             ),
         )
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -44,7 +44,10 @@
 
 @dataclass(slots=True)
 class PlatformFleet:
-    """A store and the VMs that use it."""
+    """A store and the VMs that use it.
+
+    ``grace_seconds`` is the grace period of the nodes that are added.
+    """
 
     loop: asyncio.AbstractEventLoop
     store: PlatformStore
@@ -52,6 +55,7 @@
     vms: list[PlatformVm] = field(default_factory=list)
     announcement_tasks: list[asyncio.Task[None]] = field(default_factory=list)
     request_count: int = 0
+    grace_seconds: float = 6.0
 
     async def add(self, service: str, zone: str) -> PlatformVm:
         """Start a VM with a node and a backend server.
@@ -174,7 +178,11 @@
                 },
             },
         )
-        return msgspec.structs.replace(settings, peer=f'{_LOOPBACK}:0')
+        return msgspec.structs.replace(
+            settings,
+            peer=f'{_LOOPBACK}:0',
+            grace_seconds=self.grace_seconds,
+        )
 
     def _is_vm_ready(self, vm: PlatformVm) -> bool:
         world = vm.node.world
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -20,9 +20,12 @@
 class FleetTestCase(IsolatedAsyncioTestCase):
     """Fleet of two VMs of service shop and one VM of callers."""
 
+    grace_seconds = 6.0
+
     async def asyncSetUp(self) -> None:
         """Start the fleet."""
         self.fleet: PlatformFleet = await start_fleet(configuration())
+        self.fleet.grace_seconds = self.grace_seconds
         self.addAsyncCleanup(self.fleet.close)
         self.caller_vm = await self.fleet.add('front', 'a')
         self.shop_vms = [
