Take a call during a planned stop only if it can end before the process

What callers saw: a node that got SIGTERM took requests until 5.2 s later, passed them on and ended 0.4 s after that.

Cause: the drain accepted each root call until its last moment, whatever time the call would need, and ended with calls still open: those that ran, those that waited in an exit node's queue, and those that had not been sent yet, which got no answer though they had not run.

Change: entry nodes keep the longest recent duration of each route. After the entry grace of 2 s, a call is sent, also once more, only if one of that length still ends within the drain, or if its time limit comes first. Calls of the own backend server follow the same rule. At the end of the drain, calls without an open attempt are refused as not run, and open attempts are withdrawn at their exit nodes, which refuse those that have not started. Each call that is left open is logged as call_open_after_drain. A refusal that says that the node stops carries the time at which its next process can be up. A node that waits for slow readers goes on taking calls by the same rule.

--- a/src/figlane/entities/latencies.py
+++ b/src/figlane/entities/latencies.py
@@ -1,11 +1,14 @@
-"""Latency histograms and call counters with bounded label cardinality."""
+"""Latency histograms, call counters and the longest calls of each route."""
 
 from __future__ import annotations
 
 import bisect
+import enum
 from collections import Counter
 from dataclasses import dataclass, field
 
+from figlane.entities.table import NEVER, IdentityHashMixin
+
 # Upper bounds of the buckets. They range from the overhead per call to the
 # longest deadlines of the workloads, each 2 to 2.5 times the one before.
 BUCKET_SECONDS = (
@@ -87,3 +90,29 @@
         if not is_known and len(self.calls_by_label) >= MAX_LABELS:
             labels = tuple('other' for _ in labels)
         self.calls_by_label[labels] += 1
+
+
+@enum.unique
+class DurationPhase(IdentityHashMixin, enum.Enum):
+    """Whether a route's calls have ended lately; other rows are removed."""
+
+    RECENT = 'recent'
+
+
+@dataclass(slots=True)
+class RouteDuration:
+    """Longest calls of a route, from their arrival to their outcome.
+
+    ``id`` combines service and route. ``longest`` is in seconds and covers the
+    present window, ``longest_before`` the window before it; ``count`` and
+    ``count_before`` are the numbers of calls that ended in them. The present
+    window ends at ``due``.
+    """
+
+    id: str
+    longest: float = 0
+    count: int = 0
+    longest_before: float = 0
+    count_before: int = 0
+    phase: DurationPhase = DurationPhase.RECENT
+    due: float = NEVER
--- a/src/figlane/entities/link_messages.py
+++ b/src/figlane/entities/link_messages.py
@@ -36,13 +36,15 @@
 
     If the ledger has no record of the attempt, the query prevents it from
     running should it arrive later. ``budget_ms`` is the time left until the
-    call's deadline.
+    call's deadline. With ``withdraws``, an attempt that does not run yet is
+    refused.
     """
 
     call_id: str
     attempt: int
     epoch: int
     budget_ms: float
+    withdraws: bool = False
 
 
 @enum.unique
--- a/src/figlane/entities/world.py
+++ b/src/figlane/entities/world.py
@@ -15,7 +15,7 @@
 from figlane.entities.gossip import Gossip, OpenProbe
 from figlane.entities.ingress import Ingress, IngressRoute
 from figlane.entities.kind_feed import KindFeed, StoreCheck
-from figlane.entities.latencies import Latencies
+from figlane.entities.latencies import Latencies, RouteDuration
 from figlane.entities.ledger import Ledger
 from figlane.entities.link import Link
 from figlane.entities.member import Contact, JoinState, Member
@@ -137,6 +137,7 @@
     flows: Table[Flow] = field(default_factory=Table)
     links: Table[Link] = field(default_factory=Table)
     retry_budgets: Table[RetryBudget] = field(default_factory=Table)
+    route_durations: Table[RouteDuration] = field(default_factory=Table)
     ledger: Ledger = field(default_factory=Ledger)
     refused_calls: Table[RefusedCall] = field(default_factory=Table)
     outgoing_streams: Table[OutgoingStream] = field(default_factory=Table)
--- a/src/figlane/systems/calls/identification.py
+++ b/src/figlane/systems/calls/identification.py
@@ -11,6 +11,7 @@
 from figlane.registry import RunCondition
 from figlane.systems.calls.keys import digest_key
 from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.calls.stopping import stop_refusal
 from figlane.systems.configuration.freshness import configuration_refusal
 from figlane.systems.configuration.ingress import (
     choose_destination,
@@ -47,7 +48,7 @@
     if awaits_confirmation(world, now):
         return
     for call in world.calls.in_phase(CallPhase.ARRIVED):
-        refusal = identify(world, call, now)
+        refusal = identify(world, call, now) or stop_refusal(world, call, now)
         if refusal is not None:
             finish_call(world, call, refusal)
             continue
--- a/src/figlane/systems/calls/lifecycle.py
+++ b/src/figlane/systems/calls/lifecycle.py
@@ -13,6 +13,7 @@
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, ExecutionStatus, Refusal
 from figlane.registry import RunCondition
+from figlane.systems.calls.durations import record_duration
 from figlane.systems.calls.refused_calls import record_refused_call
 from figlane.systems.calls.retry_hints import with_retry_after
 from figlane.systems.links.messages import send_message
@@ -94,6 +95,7 @@
         if isinstance(call.outcome, Refusal):
             call.outcome = with_retry_after(world, call, call.outcome, now)
         _record_outcome(world, call, now)
+        record_duration(world, call, now)
         _log_refusal(world, call, now)
         record_refused_call(world, call, now)
         end_entry_span(world, call, now)
--- a/src/figlane/systems/calls/queries.py
+++ b/src/figlane/systems/calls/queries.py
@@ -31,6 +31,9 @@
 )
 
 _MS_PER_SECOND = 1000
+_NOT_STARTED = frozenset(
+    (ExecutionPhase.KEYED, ExecutionPhase.CLAIMING, ExecutionPhase.QUEUED)
+)
 
 
 def query_attempt(world: World, call: Call, now: float) -> None:
@@ -40,13 +43,31 @@
     :param call: a call in phase ``SENT``.
     :param now: the present time in seconds.
     """
+    _send_query(world, call, now)
+
+
+def _send_query(
+    world: World, call: Call, now: float, *, withdraws: bool = False
+) -> None:
     call.last_sent_at = now
     world.counters['call.queried'] += 1
     budget_ms = (call.deadline - now) * _MS_PER_SECOND
-    query = CallQuery(call.id, call.attempt, call.node_epoch, budget_ms)
+    query = CallQuery(
+        call.id, call.attempt, call.node_epoch, budget_ms, withdraws
+    )
     send_message(world, call.node_id, query)
 
 
+def withdraw_attempt(world: World, call: Call, now: float) -> None:
+    """Ask the exit node to refuse the current attempt if it does not run yet.
+
+    :param world: the tables.
+    :param call: a call in phase ``SENT``.
+    :param now: the present time in seconds.
+    """
+    _send_query(world, call, now, withdraws=True)
+
+
 def give_up_attempt(world: World, call: Call, detail: str, now: float) -> None:
     """Give up an attempt in doubt: cancel it, then retry or end the call.
 
@@ -65,6 +86,8 @@
 def handle_query(world: World, row: PeerMessage, now: float) -> None:
     """Reply with the state of an attempt and block it if it is unknown.
 
+    A query that withdraws the attempt keeps it from running, unless it runs.
+
     If the attempt is unknown and the query is for another ledger epoch, the
     reply is ``LOST``.
 
@@ -80,7 +103,10 @@
         _block_unseen_attempt(world, row, now)
         return
     attach_attempt(known, row.sender, query.attempt)
-    if known.phase is ExecutionPhase.RECORDED:
+    if query.withdraws and known.phase in _NOT_STARTED:
+        withdrawn = Refusal(ErrorKind.DRAINING, 'the entry node has withdrawn')
+        end_execution(world, known, withdrawn, now)
+    elif known.phase is ExecutionPhase.RECORDED:
         send_outcome(world, known)
     elif known.phase is not ExecutionPhase.ANSWERED:
         _send_status(world, row, CallState.RUNNING)
--- a/src/figlane/systems/calls/retry_hints.py
+++ b/src/figlane/systems/calls/retry_hints.py
@@ -2,12 +2,14 @@
 
 Without jitter, the callers refused in a surge would all retry at the same
 moment. Their retries are spread over the time in which capacity is expected to
-become free; a caller with little time left gets a short time.
+become free; a caller with little time left gets a short time. Callers of a node
+that stops are told to come back once its next process can be up.
 """
 
 from __future__ import annotations
 
 from figlane.entities.call import Call
+from figlane.entities.node_drain import DRAIN_ID
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, ExecutionStatus, Refusal
 
@@ -15,6 +17,8 @@
 # bound is about the duration of one call.
 _MIN_RETRY_AFTER_SECONDS = 0.1
 _MAX_RETRY_AFTER_SECONDS = 1.0
+# Time from the end of a drain until the next process of the node serves calls.
+_START_SECONDS = 1.0
 # Largest fraction of the caller's remaining time to spend before a retry.
 _MAX_WAIT_FRACTION = 0.3
 _RETRY_AFTER_KINDS = frozenset(
@@ -53,9 +57,18 @@
     if refusal.kind not in _RETRY_AFTER_KINDS:
         return refusal
     seconds_left = call.arrived_at + call.caller_timeout - now
-    upper = min(
-        _MAX_RETRY_AFTER_SECONDS, max(0, seconds_left * _MAX_WAIT_FRACTION)
-    )
-    lower = min(_MIN_RETRY_AFTER_SECONDS, upper)
+    earliest = _seconds_until_restart(world, refusal, now)
+    longest_wait = max(0, seconds_left * _MAX_WAIT_FRACTION)
+    upper = min(earliest + _MAX_RETRY_AFTER_SECONDS, longest_wait)
+    lower = min(earliest + _MIN_RETRY_AFTER_SECONDS, upper)
     seconds = lower + (upper - lower) * world.random.random()
     return Refusal(refusal.kind, refusal.detail, seconds)
+
+
+def _seconds_until_restart(world: World, refusal: Refusal, now: float) -> float:
+    drain = world.node_drains.get(DRAIN_ID)
+    if drain is None or not drain.stops_process:
+        return 0
+    if refusal.kind is not ErrorKind.DRAINING:
+        return 0
+    return max(0, drain.ends_by - now) + _START_SECONDS
--- a/src/figlane/systems/calls/routing.py
+++ b/src/figlane/systems/calls/routing.py
@@ -16,6 +16,7 @@
 from figlane.systems.calls.keys import ranked_nodes
 from figlane.systems.calls.lifecycle import finish_call
 from figlane.systems.calls.retries import allot_retries, credit_retry_budget
+from figlane.systems.calls.stopping import stop_refusal
 from figlane.systems.links.handshake import needs_handshake, start_handshake
 from figlane.systems.links.liveness import monitor_call_link
 from figlane.systems.links.messages import send_message
@@ -44,13 +45,20 @@
     :param now: the present time in seconds.
     """
     for call in world.calls.in_phase(CallPhase.ROUTABLE):
-        member = _choose_member(world, call, now)
-        if member is None:
-            _wait_or_finish(world, call, now)
-            continue
-        if needs_handshake(world, member.id):
-            start_handshake(world, call, member.id, now)
-            continue
+        refusal = stop_refusal(world, call, now)
+        if refusal is None:
+            _route_call(world, call, now)
+        else:
+            finish_call(world, call, refusal)
+
+
+def _route_call(world: World, call: Call, now: float) -> None:
+    member = _choose_member(world, call, now)
+    if member is None:
+        _wait_or_finish(world, call, now)
+    elif needs_handshake(world, member.id):
+        start_handshake(world, call, member.id, now)
+    else:
         _send_attempt(world, call, member, now)
 
 
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from figlane.entities.call import Call, CallPhase
 from figlane.entities.execution import ExecutionPhase
 from figlane.entities.gossip import MembersResponse, MemberState
 from figlane.entities.link import LinkPhase
@@ -19,7 +18,7 @@
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
 from figlane.systems.admission.execution import end_execution
-from figlane.systems.calls.lifecycle import finish_call
+from figlane.systems.calls.stopping import ENTRY_GRACE_SECONDS, end_open_calls
 from figlane.systems.links.messages import send_message
 from figlane.systems.membership.rendezvous import live_members
 from figlane.systems.membership.states import (
@@ -34,8 +33,6 @@
     system,
 )
 
-# Time for which a leaving node still accepts root calls as entry node.
-ENTRY_GRACE_SECONDS = 2.0
 # Time without work before the node counts as drained, so that the last answers
 # are sent.
 _IDLE_SECONDS = 0.5
@@ -98,11 +95,7 @@
     RunCondition('node_drains', DrainPhase.DRAINED),
 )
 def refuse_new_work(world: World, now: float) -> None:
-    """Refuse calls that arrive while the node drains, before they run.
-
-    Child calls of executions that still run here are accepted. Root calls are
-    accepted for ``ENTRY_GRACE_SECONDS``, and also later if the request to drain
-    allows it. Once the process is about to stop, no call could end any more.
+    """Refuse executions that arrive while the node drains, before they run.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -113,35 +106,35 @@
     for execution in world.executions.in_phase(ExecutionPhase.QUEUED):
         if execution.queued_at > drain.began_at:
             end_execution(world, execution, Refusal(ErrorKind.DRAINING), now)
-    for call in world.calls.in_phase(CallPhase.ARRIVED):
-        if not _accepts(drain, call, now):
-            finish_call(world, call, Refusal(ErrorKind.DRAINING))
-
-
-def _accepts(drain: NodeDrain, call: Call, now: float) -> bool:
-    if drain.phase is DrainPhase.DRAINED and drain.stops_process:
-        return False
-    is_entry_grace = now < drain.began_at + ENTRY_GRACE_SECONDS
-    is_child_call = bool(call.context_token)
-    return is_entry_grace or is_child_call or drain.accepts_root_calls
 
 
-@system(Stage.COMPLETION, RunCondition('node_drains'))
+@system(Stage.EXPIRY, RunCondition('node_drains'))
 def end_drain(world: World, now: float) -> None:
     """End the drain when no work is left or its time limit has passed.
 
+    The process may still wait for callers that read slowly. Until the time
+    limit, it accepts calls meanwhile.
+
     :param world: the tables.
     :param now: the present time in seconds.
     """
     for drain in world.node_drains.pop_due(now):
-        _update_idle_since(world, drain, now)
-        if not _is_drained(world, drain, now):
+        if drain.phase is DrainPhase.DRAINING:
+            _check_drained(world, drain, now)
+        if now < drain.ends_by:
             next_check_at = min(now + _CHECK_SECONDS, drain.ends_by)
             world.node_drains.schedule(drain, next_check_at)
-            continue
-        world.node_drains.move(drain, DrainPhase.DRAINED)
-        if drain.stops_process:
-            world.outbox.append(NodeDrained())
+        elif drain.stops_process:
+            end_open_calls(world, now)
+
+
+def _check_drained(world: World, drain: NodeDrain, now: float) -> None:
+    _update_idle_since(world, drain, now)
+    if not _is_drained(world, drain, now):
+        return
+    world.node_drains.move(drain, DrainPhase.DRAINED)
+    if drain.stops_process:
+        world.outbox.append(NodeDrained())
 
 
 def _update_idle_since(world: World, drain: NodeDrain, now: float) -> None:
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from figlane.adapters.http_call import call
@@ -83,6 +84,8 @@
         self.address = address
         self.slots = 20
         self.processing_seconds = 0.005
+        # Draws the time of processing of each request, if it is set.
+        self.draw_seconds: Callable[[], float] | None = None
         self.body_bytes = 400
         self.state = 'ready'
         self.cold_remaining = '0ms'
@@ -186,7 +189,10 @@
         log.running += 1
         log.peak_running = max(log.peak_running, log.running)
         try:
-            await asyncio.sleep(self.processing_seconds)
+            if self.draw_seconds is None:
+                await asyncio.sleep(self.processing_seconds)
+            else:
+                await asyncio.sleep(self.draw_seconds())
             if self.faults.hangs:
                 await asyncio.Event().wait()
         finally:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import random
 import socket
 import time
+from collections import Counter
 
+from figlane.adapters.http_exchange import HttpFailure
+from figlane.entities.http import Answer
 from figlane.settings import split_address
 from standins.platform_fleet import API_KEY, HOST
 from tests.platform.test_node import FleetTestCase
 
 _GRACE_SECONDS = 4.0
+_CALLERS = 8
+_MIN_WORK_SECONDS = 0.2
+_MAX_WORK_SECONDS = 0.6
+_OK = 200
+_UNAVAILABLE = 503
 # More than the kernel's buffers hold, and less than the flow-control window.
 _SLOW_BODY_BYTES = 1_000_000
 _SLOW_SECONDS = 2.8
@@ -25,6 +35,40 @@
 
     grace_seconds = _GRACE_SECONDS
 
+    async def test_no_request_is_cut_off(self) -> None:
+        """Guards against requests that are taken and cut off by the stop.
+
+        Callers without another node send requests until the process is gone.
+        Each that is read gets an answer, and none that ran is refused.
+        """
+        draw_seconds = functools.partial(
+            random.Random(4).uniform, _MIN_WORK_SECONDS, _MAX_WORK_SECONDS
+        )
+        for vm in self.shop_vms:
+            vm.backend.draw_seconds = draw_seconds
+        loads = [
+            asyncio.create_task(self._load(f'{number}'))
+            for number in range(_CALLERS)
+        ]
+        await asyncio.sleep(2 * _MAX_WORK_SECONDS)
+        self.caller_vm.node.stop()
+        stopped_at = time.monotonic()
+        await self.caller_vm.task
+        self.assertLess(time.monotonic() - stopped_at, _GRACE_SECONDS)
+        outcomes = await asyncio.gather(*loads)
+        self._check_outcomes([row for load in outcomes for row in load])
+        served_late = [
+            sent_at - stopped_at
+            for load in outcomes
+            for _, sent_at, outcome in load
+            if getattr(outcome, 'status', 0) == _OK
+        ]
+        # A request with twice the longest time of work left is served.
+        last_second = _GRACE_SECONDS - 1
+        self.assertGreater(
+            max(served_late), last_second - 2 * _MAX_WORK_SECONDS
+        )
+
     async def test_slow_reader_gets_the_whole_answer(self) -> None:
         """Guards against answers that are cut off while a caller reads them.
 
@@ -47,6 +91,40 @@
         await self.caller_vm.task
         self.assertLess(time.monotonic() - stopped_at, _GRACE_SECONDS - 1)
 
+    def _check_outcomes(
+        self, rows: list[tuple[str, float, Answer | HttpFailure]]
+    ) -> None:
+        runs = Counter(
+            request_id
+            for vm in self.shop_vms
+            for request_id in vm.backend.request_log.run_count_by_id.elements()
+        )
+        for request_id, _, outcome in rows:
+            with self.subTest(request=request_id):
+                if isinstance(outcome, HttpFailure):
+                    self.assertEqual(runs[request_id], 0, outcome.reason)
+                elif outcome.status == _UNAVAILABLE:
+                    self.assertEqual(runs[request_id], 0)
+                else:
+                    self.assertEqual(outcome.status, _OK)
+
+    async def _load(
+        self, name: str
+    ) -> list[tuple[str, float, Answer | HttpFailure]]:
+        rows = []
+        while not self.caller_vm.task.done():
+            request_id = f'{name}-{len(rows)}'
+            sent_at = time.monotonic()
+            outcome = await self.fleet.call(
+                self.caller_vm,
+                '/book/a',
+                'POST',
+                figlane_request_id=request_id,
+            )
+            rows.append((request_id, sent_at, outcome))
+            await asyncio.sleep(0.02)
+        return rows
+
     async def _read_slowly(self) -> int:
         connection = socket.socket()
         connection.setsockopt(
--- a/tests/systems/calls/test_retry_hints.py
+++ b/tests/systems/calls/test_retry_hints.py
@@ -8,6 +8,7 @@
 
 from figlane.entities.call import Call
 from figlane.entities.http import Request
+from figlane.entities.node_drain import NodeDrain
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind, Refusal
 from figlane.systems.calls.retry_hints import with_retry_after
@@ -49,6 +50,18 @@
                 found = self._refusal(kind, 3)
                 self.assertEqual(found.retry_after is not None, has_time)
 
+    def test_return_after_the_stop(self) -> None:
+        """Callers of a stopping node return once its next process can be up.
+
+        Those that came back earlier would find the same process, or none.
+        """
+        self.world.node_drains.insert(NodeDrain(99, 103, stops_process=True))
+        for _ in range(200):
+            seconds = self._seconds(ErrorKind.DRAINING, 60)
+            self.assertGreater(seconds, 3)
+        self.assertLess(self._seconds(ErrorKind.OVERLOADED, 60), 1.1)
+        self.assertLessEqual(self._seconds(ErrorKind.DRAINING, 3), 1)
+
     def _seconds(self, kind: ErrorKind, left: float) -> float:
         seconds = self._refusal(kind, left).retry_after
         return -1 if seconds is None else seconds
