Send no attempt on a connection that got a rejection of the same request

Cause: all attempts of a call have the same request id, and the client of the backend server sent the next attempt on the connection that had become idle last, which is the one that got the rejection. A copy of the rejection that came on it then had the id of the attempt that ran. It was taken for its answer, and its "not executed" for the truth about this attempt.

Change: a connection remembers the ids of the requests that were answered without success, whatever the status, and carries no request with one of them again. It is closed after 32 of them. A pool that is at its limit closes the connection that has been idle for longest. A connection that has carried an answer to no request of its own is not used again either, so that a copy that comes later still finds no open request. An ordinary rejection costs no connection as long as other requests use it.

Copies without an id were told apart before.

--- a/src/figlane/adapters/backend_client.py
+++ b/src/figlane/adapters/backend_client.py
@@ -116,6 +116,7 @@
             lambda outcome: self._deliver_outcome(row, outcome),
             _StreamRelay(row, self, self._deliver),
             functools.partial(self._dialect.is_response_to, row),
+            self._dialect.response_id(row),
         )
         if not exchange.is_done:
             self._exchange_by_id[row.execution_id] = exchange
--- a/src/figlane/adapters/backend_dialect.py
+++ b/src/figlane/adapters/backend_dialect.py
@@ -30,6 +30,13 @@
         :return: the request.
         """
 
+    def response_id(self, row: RunOnBackend) -> bytes:
+        """Return the id that responses to this execution's request carry.
+
+        :param row: the execution's request and metadata.
+        :return: the id, empty if responses carry none.
+        """
+
     def is_response_to(
         self, row: RunOnBackend, headers: Headers, is_reused: bool
     ) -> bool:
@@ -89,6 +96,14 @@
             row.request.body,
         )
 
+    def response_id(self, row: RunOnBackend) -> bytes:
+        """Return no id, since no response carries one.
+
+        :param row: the execution's request and metadata.
+        :return: an empty id.
+        """
+        return b''
+
     def is_response_to(
         self, row: RunOnBackend, headers: Headers, is_reused: bool
     ) -> bool:
--- a/src/figlane/adapters/http_client.py
+++ b/src/figlane/adapters/http_client.py
@@ -25,6 +25,8 @@
 # the connection has an unknown outcome.
 _MAX_IDLE_SECONDS = 3.0
 _CONNECT_TIMEOUT_SECONDS = 1.0
+# Number of ids of unsuccessful requests after which a connection is closed.
+_MAX_REJECTED_IDS = 32
 # TCP keep-alive: the kernel closes a connection after this number of
 # unanswered probes, sent one second apart, or when sent data stays
 # unacknowledged for longer than TCP_USER_TIMEOUT.
@@ -79,14 +81,27 @@
 
 
 class _Connection(asyncio.Protocol):
-    """Client connection that carries one exchange at a time."""
+    """Client connection that carries one exchange at a time.
 
-    __slots__ = ('_exchange', '_is_used', '_pool', 'idle_since', 'transport')
+    A server may send a second copy of a response late. After an unsuccessful
+    response, another attempt of the same request must not use the connection:
+    the copy would have the id of that attempt, and be taken for its response.
+    """
+
+    __slots__ = (
+        '_exchange',
+        '_is_used',
+        '_pool',
+        '_rejected_ids',
+        'idle_since',
+        'transport',
+    )
 
     def __init__(self, pool: HttpPool) -> None:
         self._pool = pool
         self._exchange: Exchange | None = None
         self._is_used = False
+        self._rejected_ids: set[bytes] = set()
         self.transport: asyncio.Transport | None = None
         self.idle_since: float = 0
 
@@ -123,13 +138,20 @@
         self._is_used = True
         transport.write(encode_request(exchange.request, host))
 
+    def may_carry(self, exchange: Exchange) -> bool:
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return exchange.response_id not in self._rejected_ids
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
     def _end_exchange(self, exchange: Exchange) -> None:
         self._exchange = None
-        if exchange.is_reusable:
+        if exchange.response_id and exchange.may_be_repeated:
+            self._rejected_ids.add(exchange.response_id)
+        if exchange.is_reusable and len(self._rejected_ids) < _MAX_REJECTED_IDS:
             exchange.resume()
             self._pool.release(self)
             return
@@ -166,6 +188,7 @@
         finish: OutcomeCallback,
         listener: StreamListener | None = None,
         matches_request: ResponseMatcher | None = None,
+        response_id: bytes = b'',
     ) -> Exchange:
         """Send a request on an idle connection or on a new one.
 
@@ -175,15 +198,19 @@
         :param listener: receives a response that is too large to buffer.
         :param matches_request: False if the response belongs to another
             request.
+        :param response_id: the id that responses to the request carry, empty
+            if they carry none.
         :return: the exchange, through which the request can be cancelled or
             paused.
         """
-        exchange = Exchange(request, finish, listener, matches_request)
-        connection = self._pop_idle()
+        exchange = Exchange(
+            request, finish, listener, matches_request, response_id=response_id
+        )
+        connection = self._pop_idle(exchange)
         if connection is not None:
             connection.send(exchange, self._address)
             return exchange
-        if len(self._open) + len(self._tasks) >= self._limit:
+        if not self._has_room():
             self._loop.call_soon(_fail_pool_exhausted, exchange)
             return exchange
         task = self._loop.create_task(self._connect(exchange))
@@ -215,18 +242,31 @@
         for connection in tuple(self._open):
             connection.abort()
 
-    def _pop_idle(self) -> _Connection | None:
-        oldest = self._loop.time() - _MAX_IDLE_SECONDS
-        while self._idle:
-            connection = self._idle.pop()
-            transport = connection.transport
-            if transport is None or transport.is_closing():
-                continue
-            if connection.idle_since >= oldest:
-                return connection
-            connection.abort()
+    def _pop_idle(self, exchange: Exchange) -> _Connection | None:
+        self._close_stale()
+        for index in reversed(range(len(self._idle))):
+            if self._idle[index].may_carry(exchange):
+                return self._idle.pop(index)
         return None
 
+    def _close_stale(self) -> None:
+        # Connections are in the order in which they became idle.
+        oldest = self._loop.time() - _MAX_IDLE_SECONDS
+        while self._idle and self._idle[0].idle_since < oldest:
+            self._idle.pop(0).abort()
+
+    def _has_room(self) -> bool:
+        if len(self._open) + len(self._tasks) < self._limit:
+            return True
+        if not self._idle:
+            return False
+        # No idle connection may carry the request: the one that has been idle
+        # for longest is closed for it.
+        replaced = self._idle.pop(0)
+        self._open.discard(replaced)
+        replaced.abort()
+        return True
+
     async def _connect(self, exchange: Exchange) -> None:
         host, _, port = self._address.rpartition(':')
         try:
--- a/src/figlane/adapters/http_exchange.py
+++ b/src/figlane/adapters/http_exchange.py
@@ -17,6 +17,8 @@
 _METHODS_WITHOUT_BODY = frozenset(('GET', 'DELETE'))
 # Status codes below this are interim (1xx): a final response follows.
 _MIN_FINAL_STATUS = 200
+# Status codes from this on report no success.
+_MIN_UNSUCCESSFUL_STATUS = 300
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
 
@@ -114,8 +116,11 @@
 
     Without a listener, the whole response is buffered. A response that
     ``matches_request`` rejects belongs to an earlier request on the connection
-    and is discarded. A server that exceeds the limits fails the exchange, which
-    closes its connection.
+    and is discarded; the connection is not reused then. A server that exceeds
+    the limits fails the exchange, which closes its connection.
+
+    ``response_id`` is the id that responses to the request carry, empty if
+    they carry none. Another attempt of the same request has the same id.
     """
 
     __slots__ = (
@@ -124,6 +129,7 @@
         '_discarded_bytes',
         '_exceeded_limit',
         '_finish',
+        '_has_discarded',
         '_has_headers',
         '_headers',
         '_is_paused',
@@ -139,6 +145,7 @@
         '_transport',
         'is_reusable',
         'request',
+        'response_id',
     )
 
     def __init__(
@@ -148,6 +155,7 @@
         listener: StreamListener | None = None,
         matches_request: ResponseMatcher | None = None,
         limits: ResponseLimits = _DEFAULT_LIMITS,
+        response_id: bytes = b'',
     ) -> None:
         """Create an exchange that is not bound to a connection yet.
 
@@ -158,8 +166,10 @@
         :param matches_request: False if the response belongs to another
             request. By default, every response is accepted.
         :param limits: bounds of what the server may send.
+        :param response_id: the id that responses to the request carry.
         """
         self.request = request
+        self.response_id = response_id
         self.is_reusable = False
         self._finish: OutcomeCallback | None = finish
         self._listener = listener
@@ -171,6 +181,7 @@
         self._is_paused = False
         self._is_reused = False
         self._is_unmatched = False
+        self._has_discarded = False
         self._has_headers = False
         self._matches_request = matches_request
         self._limits = limits
@@ -188,6 +199,14 @@
         """
         return self._finish is None
 
+    @property
+    def may_be_repeated(self) -> bool:
+        """Whether the request may be sent again after its response.
+
+        :return: True unless the final response reports success.
+        """
+        return self._parser.get_status_code() >= _MIN_UNSUCCESSFUL_STATUS
+
     def bind(
         self, transport: ReadableTransport, *, is_reused: bool = False
     ) -> None:
@@ -311,11 +330,13 @@
             return
         is_interim = self._parser.get_status_code() < _MIN_FINAL_STATUS
         if self._is_unmatched or is_interim:
+            self._has_discarded = self._has_discarded or not is_interim
             self._is_unmatched = False
             self._has_headers = False
             self._headers.clear()
             return
-        self.is_reusable = self._parser.should_keep_alive()
+        is_kept_alive = self._parser.should_keep_alive()
+        self.is_reusable = is_kept_alive and not self._has_discarded
         self._complete()
 
     def _check_limits(self) -> None:
--- a/src/figlane/platform/backend.py
+++ b/src/figlane/platform/backend.py
@@ -60,13 +60,23 @@
             row.request.body,
         )
 
+    def response_id(self, row: RunOnBackend) -> bytes:
+        """Return the request id, which backend servers return.
+
+        All attempts of a call have the same id.
+
+        :param row: the execution's request and properties.
+        :return: the id.
+        """
+        return names.find_value(row.request.headers, names.REQUEST_ID)
+
     def is_response_to(
         self, row: RunOnBackend, headers: Headers, is_reused: bool
     ) -> bool:
         """Check by the request id whether an answer belongs to this request.
 
-        Backend servers return the id. An answer without one may be a late copy
-        of the answer to an earlier request on the connection.
+        An answer without an id may be a late copy of the answer to an earlier
+        request on the connection.
 
         :param row: the execution's request and properties.
         :param headers: the answer's headers.
@@ -76,9 +86,7 @@
         answer_request_id = names.find_value(headers, names.REQUEST_ID)
         if not answer_request_id:
             return not is_reused
-        return answer_request_id == names.find_value(
-            row.request.headers, names.REQUEST_ID
-        )
+        return answer_request_id == self.response_id(row)
 
     def read_notice(self, status: int, headers: Headers) -> ServerNotice | None:
         """Read what an answer says of the backend server itself.
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -36,8 +36,10 @@
     executed, ``hangs`` never answers, ``resets`` closes the connection instead
     of answering, ``cuts`` aborts responses in the body,
     ``sends_foreign_answer_first`` sends the response of another request first,
-    and ``unframed`` sends responses without a length, which end with the
-    connection.
+    ``unframed`` sends responses without a length, which end with the
+    connection, and ``rejects_first_with_copy`` rejects the first arrival of
+    each request and sends a copy of the rejection while it runs the next
+    request on the same connection.
     """
 
     refuses: bool = False
@@ -46,6 +48,7 @@
     cuts: bool = False
     sends_foreign_answer_first: bool = False
     unframed: bool = False
+    rejects_first_with_copy: bool = False
 
 
 @dataclass(slots=True)
@@ -97,6 +100,8 @@
         self.request_log = RequestLog()
         self._loop = loop
         self.server = CallbackHttpServer(loop, self)
+        self._rejected_ids: set[str] = set()
+        self._copy_by_connection: dict[ServerConnection, bytes] = {}
         self._task_by_connection: dict[
             ServerConnection, asyncio.Task[None]
         ] = {}
@@ -131,8 +136,13 @@
             refusal = ((b'figlane-not-executed', b'1'),)
             connection.respond(_UNAVAILABLE, refusal)
             return
-        self.request_log.requests.append(request)
         request_id = received.get(_REQUEST_ID_HEADER, b'').decode()
+        if self.faults.rejects_first_with_copy:
+            connection.write_raw(self._copy_by_connection.pop(connection, b''))
+            if request_id not in self._rejected_ids:
+                self._reject_with_copy(connection, request_id)
+                return
+        self.request_log.requests.append(request)
         self.request_log.run_count_by_id[request_id] += 1
         task = self._loop.create_task(self._run(connection, request_id))
         self._task_by_connection[connection] = task
@@ -184,6 +194,26 @@
         path = f'/instances/{self.instance_id}'
         return await send(self._loop, control, Request('DELETE', path, ()))
 
+    def _reject_with_copy(
+        self, connection: ServerConnection, request_id: str
+    ) -> None:
+        self._rejected_ids.add(request_id)
+        headers = (
+            (_REQUEST_ID_HEADER, request_id.encode()),
+            (b'figlane-not-executed', b'1'),
+        )
+        lines = [name + b': ' + content for name, content in headers]
+        self._copy_by_connection[connection] = b'\r\n'.join(
+            (
+                b'HTTP/1.1 503 Service Unavailable',
+                *lines,
+                b'content-length: 0',
+                b'',
+                b'',
+            )
+        )
+        connection.respond(_UNAVAILABLE, headers)
+
     async def _run(self, connection: ServerConnection, request_id: str) -> None:
         log = self.request_log
         log.running += 1
