Leave a margin for the next call where few calls of a route have ended

Cause: a node sees few calls a second of a slow route, and the longest of some 20 calls is exceeded by the next one in 1 of 21 cases.

Change: the estimate is the longest call with a margin, which is as long as that call after 20 calls and shrinks with their number. The margin ends at the route's target latency.

--- a/src/figlane/systems/calls/durations.py
+++ b/src/figlane/systems/calls/durations.py
@@ -11,8 +11,9 @@
 
 # The estimate covers the present window and the one before it.
 WINDOW_SECONDS = 3.0
-# Number of calls from which on the longest of them is an estimate by itself.
-MIN_CALLS = 20
+# Number of calls for which the estimate is twice the longest of them. The next
+# call exceeds the longest of n calls with a probability of 1 / (n + 1).
+MARGIN_CALLS = 20
 
 
 @system(Stage.EXPIRY, RunCondition('route_durations'))
@@ -61,9 +62,9 @@
 def longest_duration(world: World, call: Call, now: float) -> float:
     """Estimate the longest time until a call that is sent now has an outcome.
 
-    It is the longest of the route's recent calls and of those still open. If
-    few have ended, it is no less than the route's target latency. It never
-    exceeds the time left to the call.
+    It is the longest of the route's recent and open calls, with a margin that
+    is the larger the fewer calls have ended. The margin ends at the route's
+    target latency, and the estimate at the time left to the call.
 
     :param world: the tables.
     :param call: a call with a route.
@@ -75,14 +76,13 @@
         return seconds_left
     row_id = _row_id(call)
     longest = _longest_open(world, row_id, now)
-    count = 0
+    estimate = call.route.target_latency
     row = world.route_durations.get(row_id)
     if row is not None:
-        longest = max(longest, row.longest, row.longest_before)
         count = row.count + row.count_before
-    if count < MIN_CALLS:
-        longest = max(longest, call.route.target_latency)
-    return min(longest, seconds_left)
+        longest = max(longest, row.longest, row.longest_before)
+        estimate = min(estimate, longest * (1 + MARGIN_CALLS / count))
+    return min(max(longest, estimate), seconds_left)
 
 
 def _longest_open(world: World, row_id: str, now: float) -> float:
