Let no reload end a process, neither while it starts nor on figlane's interface

What callers saw: SIGHUP ended a platform node in the first 0.4 s of its process, and a node with figlane's own interface at any time, with all of its calls cut off and without a drain.

Cause: the signal ends a process by default. The platform node set a handler only once its event loop ran, the other node none.

Both programs share the module that sets the handlers.

Evidence: test_reload_while_starting (BrokenPipeError: the process had ended) and test_reload_cuts_no_call failed before and pass.

--- a/src/figlane/node.py
+++ b/src/figlane/node.py
@@ -4,7 +4,6 @@
 
 import argparse
 import asyncio
-import signal
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -19,6 +18,7 @@
 from figlane.garbage_collection import configure_garbage_collection
 from figlane.policy_names import check_policies
 from figlane.settings import NodeSettings, load_settings
+from figlane.signals import handle_signals, ignore_reloads
 from figlane.wire.checking import CheckError
 
 _EXIT_OK = 0
@@ -31,6 +31,7 @@
     :param arguments: command-line arguments, by default ``sys.argv[1:]``.
     :return: exit code: 0 after a stop, 2 if the settings are invalid.
     """
+    ignore_reloads()
     options = _parser().parse_args(arguments)
     try:
         settings = load_settings(options.settings)
@@ -98,8 +99,7 @@
 async def _serve(settings: NodeSettings) -> None:
     loop = asyncio.get_running_loop()
     node = make_node(settings, loop)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, node.stop)
+    handle_signals(loop, node.stop)
     await node.run()
 
 
--- a/src/figlane/platform/node.py
+++ b/src/figlane/platform/node.py
@@ -6,13 +6,11 @@
 import asyncio
 import functools
 import os
-import signal
 import sys
 from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
-import structlog
 import uvloop
 
 from figlane.adapters.decision_log import Allow, allow_all_lines
@@ -29,10 +27,9 @@
     PlatformSettings,
     load_platform_settings,
 )
+from figlane.signals import handle_signals, ignore_reloads
 from figlane.wire.checking import CheckError
 
-_log = structlog.get_logger()
-
 _SETTINGS_VARIABLE = 'FIGLANE_CONFIG'
 _EXIT_OK = 0
 _EXIT_BAD_SETTINGS = 2
@@ -64,6 +61,7 @@
     :param arguments: command-line arguments, by default those of the process.
     :return: exit code: 0 after a stop, 2 if the settings are invalid.
     """
+    ignore_reloads()
     options = _argument_parser().parse_args(arguments)
     try:
         settings = load_platform_settings(options.settings)
@@ -166,17 +164,9 @@
     loop = asyncio.get_running_loop()
     stream.attach_loop(loop)
     node = create_platform_node(settings, loop, stream.allow)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
+    handle_signals(loop, node.stop)
     await node.run()
 
 
-def _log_reload_request() -> None:
-    # The listening addresses stay bound while the process runs, so a change of
-    # the settings takes effect at its next start.
-    _log.info('settings_changed')
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -20,6 +20,8 @@
 from standins.platform_store import PlatformStore
 
 _SCRIPT = Path(__file__).parents[2] / 'deploy' / 'node.py'
+# Time for a signal to reach a process.
+_SIGNAL_SECONDS = 0.1
 _SETTINGS = """
 self: {{node: vm-1, ip: 127.0.0.1, zone: a, app_addr: "{app}", service: shop}}
 network:
@@ -47,15 +49,29 @@
         text = _SETTINGS.format(peer=peer, **self.addresses)
         self.path.write_text(text, encoding='utf-8')
 
+    async def test_reload_while_starting(self) -> None:
+        """Guards against a reload that ends a process before it serves.
+
+        The process waits for its settings, which it reads from a pipe.
+        """
+        text = self.path.read_bytes()
+        self.path.unlink()
+        os.mkfifo(self.path)
+        process = await self._start()
+        # The pipe opens once the process has opened it too.
+        pipe = await asyncio.to_thread(self.path.open, 'wb')
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(_SIGNAL_SECONDS)
+        with pipe:
+            pipe.write(text)
+        await self._until_ready()
+        process.send_signal(signal.SIGTERM)
+        await asyncio.wait_for(process.communicate(), 10)
+        self.assertEqual(process.returncode, 0)
+
     async def test_start_and_stop(self) -> None:
         """A node becomes ready, logs its state changes and stops on SIGTERM."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(_SCRIPT),
-            env={**os.environ, 'FIGLANE_CONFIG': str(self.path)},
-            stdout=asyncio.subprocess.PIPE,
-        )
-        self.addCleanup(_kill_if_running, process)
+        process = await self._start()
         await self._until_ready()
         process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
@@ -72,6 +88,16 @@
             with self.subTest(event=event):
                 self.assertIn(event, events)
 
+    async def _start(self) -> asyncio.subprocess.Process:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(_SCRIPT),
+            env={**os.environ, 'FIGLANE_CONFIG': str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.addCleanup(_kill_if_running, process)
+        return process
+
     async def _until_ready(self) -> None:
         loop = asyncio.get_running_loop()
         check = Request('GET', '/readiness', ())
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import threading
 import unittest
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -61,6 +62,19 @@
         for load in loads:
             self.assertEqual(load.result(), {200})
 
+    def test_reload_cuts_no_call(self) -> None:
+        """Guards against a reload that ends a node with calls open."""
+        pool = self.enterContext(ThreadPoolExecutor(64))
+        calls = [
+            pool.submit(self._call, node_id, _LONG_CALL_MS)
+            for node_id in ('entry', 'exit-a') * 2
+        ]
+        wait_until(lambda: self._running('exit-a') > 0)
+        for node_id in ('entry', 'exit-a'):
+            process = self.fleet.process_by_name[node_id]
+            process.popen.send_signal(signal.SIGHUP)
+        self.assertEqual(_statuses(calls), {200})
+
     def test_no_new_work(self) -> None:
         """A node drained by an operator gets no new calls and keeps running."""
         admin = self.fleet.process_by_name['exit-a'].printed_addresses['admin']
