--- a/src/figlane/telemetry/names.py
+++ b/src/figlane/telemetry/names.py
@@ -74,6 +74,10 @@
     _counter('call.greeting', 'calls that waited to learn the epoch of a peer'),
     _counter('call.late', 'replies to calls that had already ended'),
     _counter('call.lost', 'attempts whose outcome could not be determined'),
+    _counter(
+        'call.open-after-drain',
+        'calls whose attempt was open when the drain of a stopping node ended',
+    ),
     _counter('call.queried', 'status queries to peers about open calls'),
     _counter('call.refused.*', 'refusals by error kind'),
     _counter('call.repeated', 'child calls repeated by the backend server'),
