Let a replaced backend server finish the calls that it runs

What callers saw: calls that a backend server was running ended as unknown once a server at another address took its place beside the node, also while the first one drained as planned.

Cause: the client of the backend server closed all connections to the previous address with the first call to the next one. A call whose connection was being opened got no outcome at all before its deadline. Found while calls that a planned change cuts off were looked for beside stops of nodes.

Change: the previous pool closes its idle connections, and the others after their response. TCP keep-alive and the deadlines end what a server that is gone never answers. The options of keep-alive have a module of their own.

Evidence: test_running_call_is_answered (outcome-unknown, "connection closed") and test_close_ends_all_requests (a request without an end) failed before.

--- a/src/figlane/adapters/backend_client.py
+++ b/src/figlane/adapters/backend_client.py
@@ -76,6 +76,7 @@
         '_loop',
         '_notice_by_server',
         '_pool_by_address',
+        '_retired_pools',
     )
 
     def __init__(
@@ -95,19 +96,21 @@
         self._loop = loop
         self._deliver = deliver
         self._pool_by_address: dict[str, HttpPool] = {}
+        self._retired_pools: list[HttpPool] = []
         self._exchange_by_id: dict[str, Exchange] = {}
         self._notice_by_server: dict[str, ServerNotice] = {}
 
     def run(self, row: RunOnBackend) -> None:
         """Send an execution's request to its backend server.
 
-        A new backend address replaces the pool of the previous one.
+        A new backend address replaces the pool of the previous one, on which
+        the server at that address may finish what it runs.
 
         :param row: the request and the backend server's address.
         """
         pool = self._pool_by_address.get(row.address)
         if pool is None:
-            self._close_pools()
+            self._retire_pools()
             self._notice_by_server.clear()
             pool = HttpPool(self._loop, row.address, row.connections)
             self._pool_by_address[row.address] = pool
@@ -170,12 +173,18 @@
 
     def close(self) -> None:
         """Close all connections."""
-        self._close_pools()
+        self._retire_pools()
+        for pool in self._retired_pools:
+            pool.close()
 
-    def _close_pools(self) -> None:
+    def _retire_pools(self) -> None:
         for pool in self._pool_by_address.values():
-            pool.close()
+            pool.retire()
+            self._retired_pools.append(pool)
         self._pool_by_address.clear()
+        self._retired_pools = [
+            retired for retired in self._retired_pools if not retired.is_empty
+        ]
 
     def _deliver_outcome(self, row: RunOnBackend, outcome: HttpOutcome) -> None:
         self._exchange_by_id.pop(row.execution_id, None)
--- a/src/figlane/adapters/http_client.py
+++ b/src/figlane/adapters/http_client.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import cast
 
 from figlane.adapters.http_exchange import (
@@ -18,6 +17,7 @@
     StreamListener,
     encode_request,
 )
+from figlane.adapters.keepalive import enable_keepalive
 from figlane.entities.http import Headers, Request
 
 # Idle connections older than this are not reused. Servers commonly close idle
@@ -27,13 +27,6 @@
 _CONNECT_TIMEOUT_SECONDS = 1.0
 # Number of ids of unsuccessful requests after which a connection is closed.
 _MAX_REJECTED_IDS = 32
-# TCP keep-alive: the kernel closes a connection after this number of
-# unanswered probes, sent one second apart, or when sent data stays
-# unacknowledged for longer than TCP_USER_TIMEOUT.
-_KEEPALIVE_INTERVAL_SECONDS = 1
-_KEEPALIVE_PROBES = 3
-_USER_TIMEOUT_MS = 3000
-
 _HOP_BY_HOP_HEADERS = frozenset(
     (
         b'connection',
@@ -64,22 +57,6 @@
     )
 
 
-def enable_keepalive(sock: socket.socket) -> None:
-    """Enable TCP keep-alive and a user time-out to detect dead peers.
-
-    :param sock: the connection's socket.
-    """
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-    )
-    for level, option, content in options:
-        sock.setsockopt(level, option, content)
-
-
 class _Connection(asyncio.Protocol):
     """Client connection that carries one exchange at a time.
 
@@ -161,7 +138,15 @@
 class HttpPool:
     """Pool of connections to one address."""
 
-    __slots__ = ('_address', '_idle', '_limit', '_loop', '_open', '_tasks')
+    __slots__ = (
+        '_address',
+        '_idle',
+        '_is_retired',
+        '_limit',
+        '_loop',
+        '_open',
+        '_tasks',
+    )
 
     def __init__(
         self,
@@ -178,6 +163,7 @@
         self._loop = loop
         self._address = address
         self._limit = limit
+        self._is_retired = False
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -223,6 +209,9 @@
 
         :param connection: the connection.
         """
+        if self._is_retired:
+            connection.abort()
+            return
         connection.idle_since = self._loop.time()
         self._idle.append(connection)
 
@@ -235,6 +224,20 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no connection is open or being opened.
+
+        :return: True if nothing is left to close.
+        """
+        return not self._open and not self._tasks
+
+    def retire(self) -> None:
+        """Close idle connections now and the others after their response."""
+        self._is_retired = True
+        for connection in tuple(self._idle):
+            connection.abort()
+
     def close(self) -> None:
         """Close all connections."""
         for task in tuple(self._tasks):
--- a/src/figlane/adapters/peer_link.py
+++ b/src/figlane/adapters/peer_link.py
@@ -16,7 +16,7 @@
 
 import structlog
 
-from figlane.adapters.http_client import enable_keepalive
+from figlane.adapters.keepalive import enable_keepalive
 from figlane.entities.inbox import PeerMessage
 from figlane.entities.link import (
     CloseConnection,
