End a process that is told to stop after an operators' drain

What operators would have seen: a node that `figlane drain` had drained did not end on SIGTERM.

Cause: since a stopping node goes on taking calls while it waits for slow readers, the end of the drain is decided once, and the request to stop came after that.

Change: the notice that the process may end is sent once for each drain, whenever both hold: the drain has ended, and the process is to stop. A drained node that does not stop wakes no more.

Evidence: test_stop_after_an_operators_drain failed before (no notice) and passes; test_call_after_an_early_drain_is_sent covers the calls meanwhile. Also renames a method of the pool that closes a connection, and puts the functions of queries.py in the order in which they are used.

--- a/src/figlane/adapters/http_client.py
+++ b/src/figlane/adapters/http_client.py
@@ -168,6 +168,14 @@
         self._open: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no connection is open or being opened.
+
+        :return: True if nothing is left to close.
+        """
+        return not self._open and not self._tasks
+
     def request(
         self,
         request: Request,
@@ -196,7 +204,7 @@
         if connection is not None:
             connection.send(exchange, self._address)
             return exchange
-        if not self._has_room():
+        if not self._make_room():
             self._loop.call_soon(_fail_pool_exhausted, exchange)
             return exchange
         task = self._loop.create_task(self._connect(exchange))
@@ -224,14 +232,6 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no connection is open or being opened.
-
-        :return: True if nothing is left to close.
-        """
-        return not self._open and not self._tasks
-
     def retire(self) -> None:
         """Close idle connections now and the others after their response."""
         self._is_retired = True
@@ -258,7 +258,7 @@
         while self._idle and self._idle[0].idle_since < oldest:
             self._idle.pop(0).abort()
 
-    def _has_room(self) -> bool:
+    def _make_room(self) -> bool:
         if len(self._open) + len(self._tasks) < self._limit:
             return True
         if not self._idle:
--- a/src/figlane/entities/node_drain.py
+++ b/src/figlane/entities/node_drain.py
@@ -25,7 +25,8 @@
     ``ends_by`` is the time at which the drain ends even if work is left.
     ``idle_since`` is the time at which the last work ended. ``stops_process``
     tells whether the process exits after the drain, and ``accepts_root_calls``
-    whether root calls are accepted until then.
+    whether root calls are accepted until then. ``is_reported`` is set once the
+    adapters have been notified that the process exits.
     """
 
     began_at: float
@@ -33,6 +34,7 @@
     stops_process: bool
     accepts_root_calls: bool = False
     idle_since: float = NEVER
+    is_reported: bool = False
     id: str = DRAIN_ID
     phase: DrainPhase = DrainPhase.DRAINING
     due: float = NEVER
--- a/src/figlane/systems/calls/queries.py
+++ b/src/figlane/systems/calls/queries.py
@@ -46,6 +46,16 @@
     _send_query(world, call, now)
 
 
+def withdraw_attempt(world: World, call: Call, now: float) -> None:
+    """Ask the exit node to refuse the current attempt if it does not run yet.
+
+    :param world: the tables.
+    :param call: a call in phase ``SENT``.
+    :param now: the present time in seconds.
+    """
+    _send_query(world, call, now, withdraws=True)
+
+
 def _send_query(
     world: World, call: Call, now: float, *, withdraws: bool = False
 ) -> None:
@@ -58,16 +68,6 @@
     send_message(world, call.node_id, query)
 
 
-def withdraw_attempt(world: World, call: Call, now: float) -> None:
-    """Ask the exit node to refuse the current attempt if it does not run yet.
-
-    :param world: the tables.
-    :param call: a call in phase ``SENT``.
-    :param now: the present time in seconds.
-    """
-    _send_query(world, call, now, withdraws=True)
-
-
 def give_up_attempt(world: World, call: Call, detail: str, now: float) -> None:
     """Give up an attempt in doubt: cancel it, then retry or end the call.
 
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -121,20 +121,27 @@
     for drain in world.node_drains.pop_due(now):
         if drain.phase is DrainPhase.DRAINING:
             _check_drained(world, drain, now)
-        if now < drain.ends_by:
-            next_check_at = min(now + _CHECK_SECONDS, drain.ends_by)
-            world.node_drains.schedule(drain, next_check_at)
-        elif drain.stops_process:
-            end_open_calls(world, now)
+        if drain.phase is DrainPhase.DRAINED and drain.stops_process:
+            _stop_process(world, drain, now)
 
 
 def _check_drained(world: World, drain: NodeDrain, now: float) -> None:
     _update_idle_since(world, drain, now)
-    if not _is_drained(world, drain, now):
+    if _is_drained(world, drain, now):
+        world.node_drains.move(drain, DrainPhase.DRAINED)
         return
-    world.node_drains.move(drain, DrainPhase.DRAINED)
-    if drain.stops_process:
+    next_check_at = min(now + _CHECK_SECONDS, drain.ends_by)
+    world.node_drains.schedule(drain, next_check_at)
+
+
+def _stop_process(world: World, drain: NodeDrain, now: float) -> None:
+    if not drain.is_reported:
+        drain.is_reported = True
         world.outbox.append(NodeDrained())
+    if now >= drain.ends_by:
+        end_open_calls(world, now)
+    else:
+        world.node_drains.schedule(drain, drain.ends_by)
 
 
 def _update_idle_since(world: World, drain: NodeDrain, now: float) -> None:
--- a/tests/systems/calls/test_stopping.py
+++ b/tests/systems/calls/test_stopping.py
@@ -5,7 +5,7 @@
 import unittest
 
 from figlane.entities.backend_server import BackendServer
-from figlane.entities.node_drain import DRAIN_ID, DrainRequested
+from figlane.entities.node_drain import DRAIN_ID, DrainPhase, DrainRequested
 from figlane.errors import ErrorKind, Refusal
 from figlane.systems.calls.durations import MARGIN_CALLS, WINDOW_SECONDS
 from tests.simulated_network import DEADLINE, ENTRY, SimulatedNetwork
@@ -168,6 +168,18 @@
         self.assertFalse(self.network.was_told_not_run(call))
         self.assertEqual(len(self.network.outcomes_by_call[call]), 1)
 
+    def test_call_after_an_early_drain_is_sent(self) -> None:
+        """A node that only waits for slow readers goes on taking calls."""
+        self._measure('GET', _SHORT_SECONDS)
+        self._drain()
+        self._answer_all()
+        self._advance_to(2)
+        drain = self.network.world_by_node[ENTRY].node_drains.by_id[DRAIN_ID]
+        self.assertIs(drain.phase, DrainPhase.DRAINED)
+        self.assertIsNone(self._new_call('GET'))
+        self._advance_to(0)
+        self.assertEqual(self._new_call('GET'), ErrorKind.DRAINING)
+
     def test_operators_drain_ends_no_call(self) -> None:
         """A drain without a stop of the process leaves open calls alone."""
         self._drain(stops_process=False)
--- a/tests/systems/membership/test_leaving.py
+++ b/tests/systems/membership/test_leaving.py
@@ -48,6 +48,23 @@
         """A call that arrives during the drain is routed."""
         self.assertIsNot(self._call().outcome.kind, ErrorKind.DRAINING)
 
+    def test_stop_after_an_operators_drain(self) -> None:
+        """A node that an operator has drained before ends on a stop.
+
+        It is told once that its process may end.
+        """
+        self.world = World(Identity('n', 'a', 1), Random(1))
+        self.world.inbox.append(NodeStarted(frozenset()))
+        self._request_drain(stops_process=False)
+        self.assertEqual(_count_ends(self._run_until_drained()), 0)
+        self._request_drain(stops_process=True)
+        self.assertEqual(_count_ends(self._run_until_drained()), 1)
+
+    def _request_drain(self, *, stops_process: bool) -> None:
+        self.world.inbox.append(
+            DrainRequested(_DRAIN_SECONDS, stops_process=stops_process)
+        )
+
     def _run_until_drained(self) -> list[object]:
         ends = self.now + 2 * _DRAIN_SECONDS
         while self.now < ends:
@@ -65,3 +82,7 @@
         return next(
             row for row in self.world.outbox if isinstance(row, AnswerCaller)
         )
+
+
+def _count_ends(rows: list[object]) -> int:
+    return sum(isinstance(row, NodeDrained) for row in rows)
