Log the requests that a node cuts off, and what a stop did

What operators saw: a request whose connection the node closed left no line at all, unless its call was open when a drain ended. A stop left two lines that said neither what had caused it nor what it had done.

Change, without any change of decisions: node_stopping has the signal, whether it is a repeated one, and the numbers of open calls and executions; node_stopped has the time since the first request to stop and the number of requests cut off since. Each request that had been read, wholly or in part, when its node closes the connection leaves a line request_cut_off with its id, how long it had been open, why, and how far its call had come. request.cut-off.* counts them by reason, also those whose lines are left out. Both HTTP servers report them: figlane's own one has no id before a call begins.

The log of figlane-platform-node is flushed at the end of the process also if it ends with an exception, and the last lines wait up to 0.1 s for a slow reader.

The platform's server takes the id from the headers. A partial request has one if the header after it has begun to arrive, since the parser reports headers only then. Requests that are still in the kernel's buffers when the process ends leave no line.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -12,9 +12,11 @@
 import http
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol, cast
 
 from figlane.adapters.request_reader import HttpRequest, RequestReader
+from figlane.entities.cut_off import CutOffReason
 from figlane.entities.http import Headers
 from figlane.entities.ingress import CallerLimits
 
@@ -49,21 +51,52 @@
         """
 
 
+@dataclass(slots=True)
+class CutOffRequest:
+    """Request of a connection that the server closes before the response.
+
+    ``headers`` are those received so far. ``seconds`` is the time since the
+    request was read, or, with ``is_partial``, since its first bytes were.
+    """
+
+    headers: Headers
+    seconds: float
+    reason: CutOffReason
+    is_partial: bool = False
+
+
+ReportCutOff = Callable[[CutOffRequest], None]
+
+
+def _ignore_cut_off(row: CutOffRequest) -> None:
+    """Report nothing, for servers whose requests need no log line."""
+
+
 class ServerState:
     """State shared by all connections of a server."""
 
-    __slots__ = ('connections', 'handler', 'is_closing', 'limits', 'loop')
+    __slots__ = (
+        'connections',
+        'handler',
+        'is_closing',
+        'limits',
+        'loop',
+        'report_cut_off',
+    )
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         handler: RequestHandler,
+        report_cut_off: ReportCutOff,
     ) -> None:
         """Create the state of a server without connections.
 
         :param loop: the event loop.
         :param handler: handles the requests.
+        :param report_cut_off: receives each request that is cut off.
         """
+        self.report_cut_off = report_cut_off
         self.loop = loop
         self.handler = handler
         self.limits = CallerLimits()
@@ -79,8 +112,11 @@
         '_has_open_request',
         '_is_congested',
         '_has_head_timeout',
+        '_open_headers',
+        '_opened_at',
         '_pipelined',
         '_reader',
+        '_receiving_since',
         '_should_close',
         '_state',
         '_timer',
@@ -98,6 +134,9 @@
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(self, state.limits)
         self._pipelined: deque[HttpRequest] = deque()
+        self._open_headers: Headers = ()
+        self._opened_at: float = 0
+        self._receiving_since: float = 0
         self._has_open_request = False
         self._has_head_timeout = False
         self._should_close = False
@@ -132,9 +171,7 @@
         transport = self._transport
         if transport is None:
             return False
-        reader = self._reader
-        is_receiving = reader.is_in_head or reader.is_in_body
-        is_open = self._has_open_request or is_receiving
+        is_open = self._has_open_request or self._reader.is_receiving
         return is_open or transport.get_write_buffer_size() > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -166,6 +203,8 @@
 
         :param data: the bytes.
         """
+        if not self._reader.is_receiving:
+            self._receiving_since = self._state.loop.time()
         self._reader.feed(data)
         if not self._has_open_request:
             self._start_receive_timeout()
@@ -190,13 +229,18 @@
 
         :param row: the request.
         """
+        row.received_at = self._state.loop.time()
+        self._receiving_since = row.received_at
         if self._transport is None or self._transport.is_closing():
+            closed = CutOffReason.CONNECTION_CLOSED
+            self._report(row.headers, row.received_at, closed)
             return
         if not self._has_open_request:
             self._dispatch(row)
             return
         self._pipelined.append(row)
         if len(self._pipelined) > _MAX_PIPELINED:
+            self.report_cut_off(CutOffReason.TOO_MANY_PIPELINED)
             self._transport.abort()
 
     def on_reject(self, status: int) -> None:
@@ -209,6 +253,8 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        self._report_unanswered(CutOffReason.REJECTED)
+        self._report_partial(CutOffReason.REJECTED)
         if not self._has_open_request:
             self._should_close = True
             lines = self._response_head(status, ())
@@ -272,6 +318,7 @@
 
     def abort_response(self) -> None:
         """Abort the connection, which truncates an open response."""
+        self._report_received(CutOffReason.ANSWER_ABORTED)
         self._has_open_request = False
         if self._transport is not None:
             self._transport.abort()
@@ -281,8 +328,48 @@
         if not self._has_open_request and self._transport is not None:
             self._transport.close()
 
+    def report_cut_off(self, reason: CutOffReason) -> None:
+        """Report what is cut off if the connection is closed now.
+
+        :param reason: why it is closed.
+        """
+        transport = self._transport
+        if transport is None:
+            return
+        is_unsent = transport.get_write_buffer_size() > 0
+        if is_unsent and not self._has_open_request:
+            self._report(self._open_headers, self._opened_at, reason)
+        self._report_received(reason)
+
+    def _report_received(self, reason: CutOffReason) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._report_unanswered(reason)
+        if self._reader.is_receiving:
+            self._report_partial(reason)
+
+    def _report_unanswered(self, reason: CutOffReason) -> None:
+        if self._has_open_request:
+            self._report(self._open_headers, self._opened_at, reason)
+        for request in self._pipelined:
+            self._report(request.headers, request.received_at, reason)
+
+    def _report_partial(self, reason: CutOffReason) -> None:
+        headers = self._reader.received_headers
+        seconds = self._state.loop.time() - self._receiving_since
+        row = CutOffRequest(headers, seconds, reason, is_partial=True)
+        self._state.report_cut_off(row)
+
+    def _report(
+        self, headers: Headers, opened_at: float, reason: CutOffReason
+    ) -> None:
+        seconds = self._state.loop.time() - opened_at
+        self._state.report_cut_off(CutOffRequest(headers, seconds, reason))
+
     def _dispatch(self, request: HttpRequest) -> None:
         self._has_open_request = True
+        self._open_headers = request.headers
+        self._opened_at = request.received_at
         self._has_head_timeout = False
         self._should_close = request.closes
         self._reader.limits = self._state.limits
@@ -303,6 +390,7 @@
         if self._transport is None:
             return
         if self._should_close:
+            self._report_received(CutOffReason.CONNECTION_CLOSED)
             self._transport.close()
             return
         if self._pipelined:
@@ -350,7 +438,7 @@
         if self._state.loop.time() < self._deadline:
             self._set_timer()
             return
-        if self._reader.is_in_head or self._reader.is_in_body:
+        if self._reader.is_receiving:
             self.on_reject(_REQUEST_TIMEOUT)
             return
         self.close_if_idle()
@@ -378,13 +466,15 @@
         self,
         loop: asyncio.AbstractEventLoop,
         handler: RequestHandler,
+        report_cut_off: ReportCutOff = _ignore_cut_off,
     ) -> None:
         """Create a server that does not listen yet.
 
         :param loop: the event loop.
         :param handler: handles the requests.
+        :param report_cut_off: receives each request that is cut off.
         """
-        self.state = ServerState(loop, handler)
+        self.state = ServerState(loop, handler, report_cut_off)
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -423,6 +513,8 @@
             is_busy = any(
                 connection.is_busy for connection in self.state.connections
             )
+        for connection in self.state.connections:
+            connection.report_cut_off(CutOffReason.PROCESS_ENDS)
         self.close()
 
     def close(self) -> None:
--- a/src/figlane/adapters/http_entry.py
+++ b/src/figlane/adapters/http_entry.py
@@ -163,8 +163,8 @@
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[Outcome] = loop.create_future()
         self._caller_by_call_id[call.id] = _Caller(waiter, connection)
-        connection.on_disconnect = lambda: self._deliver(
-            CallerDisconnected(call.id)
+        connection.begin_call(
+            call.id, lambda: self._deliver(CallerDisconnected(call.id))
         )
         self._deliver(CallArrived(call))
         return await waiter
--- a/src/figlane/adapters/http_protocol.py
+++ b/src/figlane/adapters/http_protocol.py
@@ -8,6 +8,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from figlane.entities.cut_off import CutOffReason, RequestCutOff
+
 # Key of the connection's protocol in the ASGI scope of each request.
 SCOPE_KEY = 'figlane.connection'
 
@@ -26,6 +28,9 @@
 )
 
 
+ReportCutOff = Callable[[RequestCutOff], None]
+
+
 def _do_nothing() -> None:
     """Default disconnect callback; does nothing."""
 
@@ -33,18 +38,27 @@
 class CallerProtocol(HttpToolsProtocol):
     """Closes connections with slow requests or oversized headers.
 
-    ``on_disconnect`` is called if the caller disconnects before its response
-    is complete.
+    The callback of ``begin_call`` is called if the caller disconnects before
+    its response is complete.
     """
 
-    def __init__(self, *arguments: Any, **named: Any) -> None:
+    def __init__(
+        self, report_cut_off: ReportCutOff, *arguments: Any, **named: Any
+    ) -> None:
         """Create the protocol of one connection.
 
+        :param report_cut_off: receives each request that is cut off.
         :param arguments: positional arguments of uvicorn's protocol.
         :param named: keyword arguments of uvicorn's protocol.
         """
         super().__init__(*arguments, **named)
-        self.on_disconnect: Callable[[], None] = _do_nothing
+        self._report_cut_off = report_cut_off
+        self._on_disconnect: Callable[[], None] = _do_nothing
+        self._call_id = ''
+        self._has_open_call = False
+        self._opened_at: float = 0
+        self._receiving_since: float = 0
+        self._is_receiving = False
         self._head_bytes = 0
         self._is_in_head = False
         self._receive_timer: asyncio.TimerHandle | None = None
@@ -58,7 +72,7 @@
         self._start_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Call ``on_disconnect`` if a response is incomplete.
+        """Call the disconnect callback if a response is incomplete.
 
         :param exc: the error, or None after a regular close.
         """
@@ -66,18 +80,57 @@
         cycle = self.cycle
         super().connection_lost(exc)
         if cycle is not None and not cycle.response_complete:
-            self.on_disconnect()
+            self._on_disconnect()
+
+    def begin_call(
+        self, call_id: str, on_disconnect: Callable[[], None]
+    ) -> None:
+        """Note the call of the open request.
+
+        :param call_id: id of the call.
+        :param on_disconnect: called if the caller disconnects before its
+            response is complete.
+        """
+        self._call_id = call_id
+        self._has_open_call = True
+        self._opened_at = self.loop.time()
+        self._on_disconnect = on_disconnect
+
+    def report_cut_off(self, reason: CutOffReason) -> None:
+        """Report what is cut off if the connection is closed now.
+
+        :param reason: why it is closed.
+        """
+        is_unsent = self.transport.get_write_buffer_size() > 0
+        if self._has_open_call or (is_unsent and self._call_id):
+            seconds = self.loop.time() - self._opened_at
+            row = RequestCutOff(self._call_id, seconds, reason)
+            self._report_cut_off(row)
+        if self._is_receiving:
+            self._report_partial(reason)
+
+    def shutdown(self) -> None:
+        """Close the connection, or let it close after the open response."""
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and self._is_receiving:
+            self._report_partial(CutOffReason.PROCESS_ENDS)
+        super().shutdown()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the limit on header size.
 
         :param data: the bytes.
         """
+        was_closing = self.transport.is_closing()
         super().data_received(data)
+        if self.transport.is_closing() and not was_closing:
+            self._report_rejected()
+            return
         if not self._is_in_head:
             return
         self._head_bytes += len(data)
         if self._head_bytes > MAX_HEAD_BYTES:
+            self._report_rejected()
             self.transport.write(_HEAD_TOO_LARGE)
             self.transport.close()
 
@@ -86,6 +139,8 @@
         super().on_message_begin()
         self.scope[SCOPE_KEY] = self
         self._is_in_head = True
+        self._is_receiving = True
+        self._receiving_since = self.loop.time()
         self._head_bytes = 0
         self._start_timer()
 
@@ -97,22 +152,47 @@
     def on_message_complete(self) -> None:
         """Stop the receive time-out after a complete request."""
         self._cancel_timer()
+        self._is_receiving = False
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Remove the disconnect callback after a complete response."""
-        self.on_disconnect = _do_nothing
+        self._on_disconnect = _do_nothing
+        self._has_open_call = False
+        if self.transport.is_closing():
+            self._report_behind_response()
         super().on_response_complete()
 
     def abort_response(self) -> None:
         """Abort the connection, which truncates an open response."""
+        self.report_cut_off(CutOffReason.ANSWER_ABORTED)
+        self.transport.abort()
+
+    def _report_behind_response(self) -> None:
+        # The response closes the connection, whatever was received behind it.
+        for _ in self.pipeline:
+            self._report_partial(CutOffReason.CONNECTION_CLOSED)
+
+    def _report_rejected(self) -> None:
+        if self._has_open_call:
+            self.report_cut_off(CutOffReason.REJECTED)
+        elif self._is_receiving:
+            self._report_partial(CutOffReason.REJECTED)
+
+    def _report_partial(self, reason: CutOffReason) -> None:
+        # The request has no id yet: it becomes a call once it is complete.
+        seconds = self.loop.time() - self._receiving_since
+        self._report_cut_off(RequestCutOff('', seconds, reason, True))
+
+    def _abort_slow_request(self) -> None:
+        self._report_rejected()
         self.transport.abort()
 
     def _start_timer(self) -> None:
         if self._receive_timer is None:
             self._receive_timer = self.loop.call_later(
                 RECEIVE_TIMEOUT_SECONDS,
-                self.transport.abort,
+                self._abort_slow_request,
             )
 
     def _cancel_timer(self) -> None:
--- a/src/figlane/adapters/http_server.py
+++ b/src/figlane/adapters/http_server.py
@@ -11,7 +11,8 @@
 import uvicorn
 from blacksheep import Application
 
-from figlane.adapters.http_protocol import CallerProtocol
+from figlane.adapters.http_protocol import CallerProtocol, ReportCutOff
+from figlane.entities.cut_off import CutOffReason, RequestCutOff
 from figlane.settings import split_address
 
 _BACKLOG = 2048
@@ -35,6 +36,10 @@
     return handle
 
 
+def _ignore_cut_off(row: RequestCutOff) -> None:
+    """Report nothing, for servers whose requests need no log line."""
+
+
 class _Server(uvicorn.Server):
     """uvicorn server without signal handlers; the process installs its own."""
 
@@ -57,6 +62,7 @@
         application: Application,
         address: str,
         grace_seconds: int | None = None,
+        report_cut_off: ReportCutOff = _ignore_cut_off,
     ) -> None:
         """Bind the socket.
 
@@ -64,6 +70,7 @@
         :param address: ``host:port`` to bind; port 0 selects a free port.
         :param grace_seconds: maximum wait for open requests on a stop; None
             waits without a limit.
+        :param report_cut_off: receives each request that is cut off.
         """
         self._socket = socket.create_server(
             split_address(address),
@@ -74,7 +81,7 @@
         config = uvicorn.Config(
             application,
             access_log=False,
-            http=CallerProtocol,
+            http=functools.partial(CallerProtocol, report_cut_off),
             lifespan='on',
             log_config=None,
             loop='none',
@@ -90,6 +97,8 @@
     async def run(self) -> None:
         """Serve requests until ``stop`` is called."""
         await self._server.serve(sockets=[self._socket])
+        for connection in self._server.server_state.connections:
+            connection.report_cut_off(CutOffReason.PROCESS_ENDS)
 
     def stop(self) -> None:
         """Stop accepting connections and shut down after the open requests."""
--- a/src/figlane/adapters/log_stream.py
+++ b/src/figlane/adapters/log_stream.py
@@ -8,6 +8,8 @@
 import select
 from collections import Counter, deque
 
+from figlane.clock import current_time
+
 # Buffer size, in bytes, above which further lines are dropped.
 _MAX_BUFFERED_BYTES = 262_144
 # A writable pipe accepts this many bytes without blocking (POSIX: PIPE_BUF).
@@ -19,6 +21,7 @@
 # microseconds, so that a flood of one event uses a few thousandths of a core.
 _LINES_PER_SECOND = 50.0
 _BURST_LINES = 300.0
+_MS_PER_SECOND = 1000
 
 
 class LogStream:
@@ -104,13 +107,21 @@
     def flush(self) -> None:
         """Do nothing, since ``write`` flushes the line or schedules a flush."""
 
-    def flush_now(self) -> None:
-        """Write buffered lines until the descriptor would block."""
+    def flush_now(self, seconds: float = 0) -> None:
+        """Write buffered lines until the descriptor would block.
+
+        :param seconds: how long to wait in all for a reader that is slow.
+        """
         self._append_drop_summary()
-        while self._buffer and self._poll.poll(0):
+        ends_at = current_time() + seconds
+        while self._buffer and self._is_writable(ends_at):
             if not self._write_some():
                 return
 
+    def _is_writable(self, ends_at: float) -> bool:
+        seconds_left = max(0, ends_at - current_time())
+        return bool(self._poll.poll(seconds_left * _MS_PER_SECOND))
+
     def _write_some(self) -> bool:
         chunk = bytearray()
         while self._buffer and len(chunk) + len(self._buffer[0]) <= (
--- a/src/figlane/adapters/native_interface.py
+++ b/src/figlane/adapters/native_interface.py
@@ -76,7 +76,11 @@
         self._writer = PlatformWriter(self._platform, loop, deliver)
         self._feed = PlatformFeed(self._platform, loop, deliver)
         self._servers = (
-            HttpServer(self._entry.application, settings.entry),
+            HttpServer(
+                self._entry.application,
+                settings.entry,
+                report_cut_off=deliver,
+            ),
             HttpServer(admin.application, settings.admin),
         )
         world.identity.entry_address = self._servers[0].address
--- a/src/figlane/adapters/request_reader.py
+++ b/src/figlane/adapters/request_reader.py
@@ -22,6 +22,7 @@
     """Complete request; header names are in lower case.
 
     ``closes`` is set if the connection closes after the response.
+    ``received_at`` is the event loop's time at which its last byte was read.
     """
 
     method: str
@@ -29,6 +30,7 @@
     headers: Headers
     body: bytes
     closes: bool = False
+    received_at: float = 0
 
 
 class RequestReaderCallbacks(Protocol):
@@ -93,6 +95,22 @@
         self._expects_continue = False
         self._is_rejected = False
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has been received in part.
+
+        :return: True from its first byte to its last one.
+        """
+        return self.is_in_head or self.is_in_body
+
+    @property
+    def received_headers(self) -> Headers:
+        """Headers of the latest request, as far as they have been received.
+
+        :return: names in lower case, and values.
+        """
+        return tuple(self._headers)
+
     def feed(self, received: bytes) -> None:
         """Parse received bytes and enforce the limit on header size.
 
@@ -177,11 +195,13 @@
         self.is_in_body = False
         body = b''.join(self._body)
         self._body = []
+        headers = tuple(self._headers)
+        self._headers = []
         self._owner.on_complete_request(
             HttpRequest(
                 self._parser.get_method().decode('latin-1'),
                 self._url.decode('latin-1'),
-                tuple(self._headers),
+                headers,
                 body,
                 not self._parser.should_keep_alive(),
             ),
--- a/src/figlane/composition.py
+++ b/src/figlane/composition.py
@@ -24,6 +24,7 @@
 from figlane.adapters.peer_link import PeerLink
 from figlane.adapters.peer_sockets import bind_peer_sockets
 from figlane.adapters.ticker import Sink, Ticker
+from figlane.clock import current_time
 from figlane.entities.gossip import SendDatagram
 from figlane.entities.inbox import NodeStarted
 from figlane.entities.link import CloseConnection, ReplaceConnection
@@ -37,6 +38,8 @@
     World,
 )
 from figlane.settings import TelemetrySettings
+from figlane.systems.cut_offs import count_cut_offs
+from figlane.systems.membership.leaving import count_open_executions
 from figlane.systems.membership.readiness import is_ready
 from figlane.systems.tick import run_tick
 from figlane.telemetry.telemetry import Telemetry
@@ -45,6 +48,8 @@
 
 _NANOSECONDS_PER_MS = 1_000_000
 _SEED_BITS = 64
+# Seconds in log events are rounded to milliseconds.
+_SECONDS_DECIMALS = 3
 
 Deliver = Callable[[Any], None]
 
@@ -119,12 +124,13 @@
 
     __slots__ = (
         '_bound_address',
+        '_cut_offs_before',
         '_datagram_link',
         '_decision_log',
         '_interface',
-        '_is_stop_requested',
         '_peer_link',
         '_plan',
+        '_stop_requested_at',
         '_stopping',
         '_tasks',
         '_telemetry',
@@ -169,7 +175,8 @@
             self.world,
             self._ticker.sink_by_type,
         )
-        self._is_stop_requested = False
+        self._stop_requested_at: float | None = None
+        self._cut_offs_before = 0
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -179,14 +186,22 @@
         self._announce_addresses()
         await self._stopping.wait()
         await self._interface.stop()
+        # Log the requests that the interface has cut off.
+        self._ticker.run()
         await self._close()
 
-    def stop(self) -> None:
-        """Start a graceful shutdown; a second call stops the node at once."""
-        if self._is_stop_requested:
+    def stop(self, signal_name: str = '') -> None:
+        """Start a graceful shutdown; a second call stops the node at once.
+
+        :param signal_name: name of the signal that requests it, if any.
+        """
+        is_repeated = self._stop_requested_at is not None
+        if is_repeated:
             self._stopping.set()
-        self._is_stop_requested = True
-        _log.info('node_stopping', node=self.world.identity.node_id)
+        else:
+            self._stop_requested_at = current_time()
+            self._cut_offs_before = count_cut_offs(self.world)
+        self._log_stop_request(signal_name, is_repeated=is_repeated)
         self._interface.request_shutdown()
 
     async def _start(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -201,6 +216,26 @@
     def _handle_drained(self, row: NodeDrained) -> None:
         self._stopping.set()
 
+    def _log_stop_request(self, signal_name: str, *, is_repeated: bool) -> None:
+        line = {
+            'node': self.world.identity.node_id,
+            'signal': signal_name,
+            'is_repeated': is_repeated,
+            'calls': len(self.world.calls),
+            'executions': count_open_executions(self.world),
+        }
+        self._decision_log.write(LogDecision('node_stopping', line))
+
+    def _log_stopped(self, now: float) -> None:
+        requested_at = self._stop_requested_at
+        seconds = 0 if requested_at is None else now - requested_at
+        _log.info(
+            'node_stopped',
+            node=self.world.identity.node_id,
+            seconds=round(seconds, _SECONDS_DECIMALS),
+            requests_cut_off=count_cut_offs(self.world) - self._cut_offs_before,
+        )
+
     def _sinks(self) -> dict[type, Sink]:
         return {
             SendToPeer: self._peer_link.send,
@@ -232,7 +267,7 @@
         self._datagram_link.close()
         self._peer_link.close()
         self._telemetry.close()
-        _log.info('node_stopped')
+        self._log_stopped(current_time())
 
     def _spawn(self, coroutine: Any) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/figlane/platform/callers.py
+++ b/src/figlane/platform/callers.py
@@ -9,10 +9,14 @@
 import msgspec
 
 from figlane.adapters.hop_by_hop import end_to_end_headers
-from figlane.adapters.http_callback_server import ServerConnection
+from figlane.adapters.http_callback_server import (
+    CutOffRequest,
+    ServerConnection,
+)
 from figlane.adapters.request_reader import HttpRequest
 from figlane.clock import current_time
 from figlane.entities.call import Call
+from figlane.entities.cut_off import RequestCutOff
 from figlane.entities.http import Answer, Headers, Request, StreamedAnswer
 from figlane.entities.inbox import (
     CallArrived,
@@ -118,6 +122,21 @@
         self._stream_by_call_id.pop(connection.call_id, None)
         self._deliver(CallerDisconnected(connection.call_id))
 
+    def report_cut_off(self, row: CutOffRequest) -> None:
+        """Report a request that the server has cut off.
+
+        :param row: its headers, and why it was cut off.
+        """
+        request_id = dict(row.headers).get(names.REQUEST_ID, b'')
+        self._deliver(
+            RequestCutOff(
+                request_id.decode('latin-1'),
+                row.seconds,
+                row.reason,
+                row.is_partial,
+            ),
+        )
+
     def answer(self, row: AnswerCaller) -> None:
         """Send a caller the outcome of its call.
 
--- a/src/figlane/platform/interface.py
+++ b/src/figlane/platform/interface.py
@@ -77,7 +77,9 @@
         self._backend_client = BackendClient(loop, deliver, PlatformDialect())
         self._health_checker = HealthChecker(loop, deliver)
         self._caller_handler = CallerHandler(settings.service_id, deliver)
-        self._entry_server = CallbackHttpServer(loop, self._caller_handler)
+        self._entry_server = CallbackHttpServer(
+            loop, self._caller_handler, self._caller_handler.report_cut_off
+        )
         self._servers = (
             (self._entry_server, settings.entry),
             (
--- a/src/figlane/platform/node.py
+++ b/src/figlane/platform/node.py
@@ -53,6 +53,8 @@
 # Share of the agreed retry ratio that nodes use. The rest covers retries of
 # nested calls that are made by executions which are retries themselves.
 _RETRY_RATIO_SHARE = 0.8
+# Longest wait for the reader of the log at the end of the process, in seconds.
+_LAST_LINES_SECONDS = 0.1
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -79,8 +81,10 @@
     stream = LogStream(sys.stdout.fileno())
     configure_log('json', stream)
     configure_garbage_collection()
-    uvloop.run(_serve(settings, stream))
-    stream.flush_now()
+    try:
+        uvloop.run(_serve(settings, stream))
+    finally:
+        stream.flush_now(_LAST_LINES_SECONDS)
     return _EXIT_OK
 
 
--- a/src/figlane/signals.py
+++ b/src/figlane/signals.py
@@ -20,7 +20,7 @@
 
 
 def handle_signals(
-    loop: asyncio.AbstractEventLoop, stop: Callable[[], None]
+    loop: asyncio.AbstractEventLoop, stop: Callable[[str], None]
 ) -> None:
     """Stop on SIGTERM or SIGINT, and log SIGHUP.
 
@@ -28,10 +28,10 @@
     addresses stay bound, and no call is cut off.
 
     :param loop: the event loop that runs the node.
-    :param stop: requests a graceful shutdown.
+    :param stop: requests a graceful shutdown; it gets the signal's name.
     """
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop)
+        loop.add_signal_handler(signal_number, stop, signal_number.name)
     loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
 
 
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -144,9 +144,17 @@
         world.node_drains.schedule(drain, drain.ends_by)
 
 
+def count_open_executions(world: World) -> int:
+    """Count the executions that wait or run at this node.
+
+    :param world: the tables.
+    :return: the number of executions.
+    """
+    return sum(world.executions.count(phase) for phase in _UNFINISHED)
+
+
 def _update_idle_since(world: World, drain: NodeDrain, now: float) -> None:
-    unfinished = sum(world.executions.count(phase) for phase in _UNFINISHED)
-    if unfinished or len(world.calls):
+    if count_open_executions(world) or len(world.calls):
         drain.idle_since = now
     drain.idle_since = min(drain.idle_since, now)
 
--- a/src/figlane/telemetry/names.py
+++ b/src/figlane/telemetry/names.py
@@ -117,6 +117,11 @@
     _counter('ramp.lowered', 'reductions of the cold-start concurrency ramp'),
     _counter('ramp.restarted', 'restarts of the cold-start ramp'),
     _counter('quota.*', 'quota events: tokens and rights to mint them'),
+    _counter(
+        'request.cut-off.*',
+        'requests whose connection this node closed before the answer, '
+        'by reason',
+    ),
     _counter(
         'retry.exhausted', 'retries refused because no attempts were left'
     ),
--- a/tests/adapters/test_http_callback_server.py
+++ b/tests/adapters/test_http_callback_server.py
@@ -3,20 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from unittest import IsolatedAsyncioTestCase
 
 from figlane.adapters.http_callback_server import (
     CallbackHttpServer,
+    CutOffRequest,
     ServerConnection,
 )
 from figlane.adapters.request_reader import HttpRequest
+from figlane.entities.cut_off import CutOffReason
 from figlane.entities.ingress import CallerLimits
 from standins.addresses import reserve_addresses
 
 _LIMITS = CallerLimits(head_seconds=0.2, idle_seconds=0.6)
 _GET = b'GET /%(number)d HTTP/1.1\r\nHost: x\r\n\r\n'
 _FIRST = _GET % {b'number': 1}
+_NAMED = b'GET / HTTP/1.1\r\nHost: x\r\nX-Id: %(name)b\r\n\r\n'
+_NAMED_A = _NAMED % {b'name': b'a'}
+_NAMED_B = _NAMED % {b'name': b'b'}
+# A request without the end of its headers. A header is known once the next one
+# begins.
+_HALF = b'GET / HTTP/1.1\r\nHost: x\r\nX-Id: c\r\nY: '
 _POST = b'POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n'
 
 
@@ -26,9 +35,11 @@
     async def asyncSetUp(self) -> None:
         """Start the server and open a connection."""
         self.disconnects = 0
-        self.delay: float = 0
+        self.delay: float | None = 0
+        self.body = b''
         loop = asyncio.get_running_loop()
-        self.server = CallbackHttpServer(loop, self)
+        self.cut_offs: list[CutOffRequest] = []
+        self.server = CallbackHttpServer(loop, self, self.cut_offs.append)
         self.server.state.limits = _LIMITS
         self.address = reserve_addresses(1)[0].split(':')
         await self.server.start(self.address[0], int(self.address[1]))
@@ -41,12 +52,15 @@
     def on_request(
         self, connection: ServerConnection, request: HttpRequest
     ) -> None:
-        """Respond after the configured delay.
+        """Respond after the configured delay, or at once without one.
 
         :param connection: the connection.
         :param request: the request.
         """
-        body = request.target.encode() + request.body
+        body = self.body or request.target.encode() + request.body
+        if self.delay is None:
+            connection.respond(200, (), body)
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(self.delay, connection.respond, 200, (), body)
 
@@ -143,11 +157,140 @@
         waiting.close()
         await stopping
 
-    def _stop(self) -> asyncio.Task[None]:
-        stop = self.server.stop(1)
+    async def test_answered_requests_are_not_cut_off(self) -> None:
+        """Neither answers nor idle connections nor callers that leave count."""
+        self.writer.write(_FIRST)
+        await self._read_response()
+        self.delay = 5
+        leaving = await asyncio.open_connection(*self.address)
+        leaving[1].write(_FIRST)
+        await _wait()
+        leaving[1].close()
+        await _wait()
+        await self._stop(0.05)
+        self.assertEqual(self.cut_offs, [])
+
+    async def test_cut_off_by_the_end(self) -> None:
+        """The open, pipelined and half received requests are reported."""
+        self.delay = 5
+        self.writer.write(_NAMED_A + _NAMED_B + _HALF)
+        await _wait()
+        await self._stop(0.05)
+        self.assertEqual(
+            self._reported(),
+            [
+                (b'a', CutOffReason.PROCESS_ENDS, False),
+                (b'b', CutOffReason.PROCESS_ENDS, False),
+                (b'c', CutOffReason.PROCESS_ENDS, True),
+            ],
+        )
+        for row in self.cut_offs:
+            self.assertGreater(row.seconds, 0.09)
+            self.assertLess(row.seconds, 1)
+
+    async def test_cut_off_before_the_body(self) -> None:
+        """A request of which only the headers were read is reported."""
+        head = _NAMED_A[:-2] + b'Content-Length: 2\r\n\r\n'
+        self.writer.write(head)
+        await _wait()
+        await self._stop(0.05)
+        self.assertEqual(
+            self._reported(), [(b'a', CutOffReason.PROCESS_ENDS, True)]
+        )
+
+    async def test_cut_off_while_the_caller_reads(self) -> None:
+        """An answer that the caller has not read is reported."""
+        self.body = bytes(20_000_000)
+        self.writer.write(_NAMED_A)
+        await asyncio.sleep(0.1)
+        await self._stop(0.05)
+        self.assertEqual(
+            self._reported(), [(b'a', CutOffReason.PROCESS_ENDS, False)]
+        )
+
+    async def test_cut_off_by_a_rejection(self) -> None:
+        """A bad request behind an open one ends both."""
+        self.delay = 5
+        self.writer.write(_NAMED_A)
+        await _wait()
+        self.writer.write(b'GET / HTTP/1.1\r\nX-Id: b\r\nY: z\r\n\x00\r\n\r\n')
+        self.assertEqual(await self.reader.read(), b'')
+        self.assertEqual(
+            self._reported(),
+            [
+                (b'a', CutOffReason.REJECTED, False),
+                (b'b', CutOffReason.REJECTED, True),
+            ],
+        )
+
+    async def test_cut_off_by_a_timeout(self) -> None:
+        """A request that is not completed in time is reported."""
+        self.writer.write(_HALF)
+        self.assertIn(b' 408 ', await self.reader.read())
+        self.assertEqual(
+            self._reported(), [(b'c', CutOffReason.REJECTED, True)]
+        )
+
+    async def test_cut_off_behind_the_last_answer(self) -> None:
+        """Requests behind an answer that closes are reported."""
+        self.delay = 0.05
+        self.writer.write(_NAMED_A + _NAMED_B + _HALF)
+        self.server.start_closing()
+        self.assertIn(b'connection: close', await self.reader.read())
+        self.assertEqual(
+            self._reported(),
+            [
+                (b'b', CutOffReason.CONNECTION_CLOSED, False),
+                (b'c', CutOffReason.CONNECTION_CLOSED, True),
+            ],
+        )
+
+    async def test_cut_off_behind_a_closed_connection(self) -> None:
+        """A request that is read with one that was answered is reported."""
+        self.delay = None
+        self.server.start_closing()
+        self.writer.write(_NAMED_A + _NAMED_B)
+        self.assertIn(b'connection: close', await self.reader.read())
+        self.assertEqual(
+            self._reported(), [(b'b', CutOffReason.CONNECTION_CLOSED, False)]
+        )
+
+    async def test_cut_off_by_an_aborted_answer(self) -> None:
+        """A response that is aborted is reported."""
+        self.delay = 5
+        self.writer.write(_NAMED_A)
+        await _wait()
+        for connection in self.server.state.connections:
+            connection.abort_response()
+        self.assertEqual(
+            self._reported(), [(b'a', CutOffReason.ANSWER_ABORTED, False)]
+        )
+
+    async def test_cut_off_by_too_many_requests(self) -> None:
+        """All requests of a connection with too many are reported."""
+        self.delay = 5
+        self.writer.write(_NAMED_A * 18)
+        with contextlib.suppress(ConnectionError):
+            self.assertEqual(await self.reader.read(), b'')
+        self.assertEqual(len(self.cut_offs), 18)
+        reasons = {row.reason for row in self.cut_offs}
+        self.assertEqual(reasons, {CutOffReason.TOO_MANY_PIPELINED})
+
+    def _reported(self) -> list[tuple[bytes, CutOffReason, bool]]:
+        return [
+            (dict(row.headers).get(b'x-id', b''), row.reason, row.is_partial)
+            for row in self.cut_offs
+        ]
+
+    def _stop(self, seconds: float = 1) -> asyncio.Task[None]:
+        stop = self.server.stop(seconds)
         return asyncio.get_running_loop().create_task(stop)
 
     async def _read_response(self) -> bytes:
         head = await self.reader.readuntil(b'\r\n\r\n')
         length = int(head.split(b'content-length: ')[1].split(b'\r')[0])
         return head + await self.reader.readexactly(length)
+
+
+async def _wait() -> None:
+    await asyncio.sleep(0.05)
--- a/tests/adapters/test_log_stream.py
+++ b/tests/adapters/test_log_stream.py
@@ -4,6 +4,8 @@
 
 import json
 import os
+import threading
+import time
 import unittest
 
 from figlane.adapters.log_stream import LogStream
@@ -33,6 +35,24 @@
         self.assertGreater(dropped, 0)
         self.assertEqual(len(lines) - len(summaries) + dropped, 10_000)
 
+    def test_last_lines_wait_for_the_reader(self) -> None:
+        """Lines are written to a reader that is slower than the process."""
+        self.stream.write('y' * 100_000 + '\n')
+        received: list[bytes] = []
+        reader = threading.Timer(0.1, self._read_until_newline, [received])
+        reader.start()
+        self.stream.flush_now(5)
+        reader.join()
+        self.assertEqual(len(b''.join(received)), 100_001)
+
+    def test_last_lines_do_not_wait_for_ever(self) -> None:
+        """The wait for a reader that does not read is bounded."""
+        self.stream.write('y' * 100_000 + '\n')
+        begun = time.monotonic()
+        self.stream.flush_now(0.1)
+        self.assertGreater(time.monotonic() - begun, 0.09)
+        self.assertLess(time.monotonic() - begun, 2)
+
     def test_long_line(self) -> None:
         """A line longer than one write is written completely."""
         line = 'y' * 20_000 + '\n'
@@ -50,6 +70,10 @@
         self.assertGreater(allowed, 700)
         self.assertTrue(self.stream.allow('b', now))
 
+    def _read_until_newline(self, received: list[bytes]) -> None:
+        while not received or not received[-1].endswith(b'\n'):
+            received.append(os.read(self.reader, 65_536))
+
     def _read_all(self) -> bytes:
         os.set_blocking(self.reader, False)
         received = b''
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,7 +9,6 @@
 import sys
 import tempfile
 from pathlib import Path
-from typing import Any
 from unittest import IsolatedAsyncioTestCase
 
 from figlane.entities.http import Request
@@ -77,7 +76,8 @@
         process.send_signal(signal.SIGTERM)
         output, _ = await asyncio.wait_for(process.communicate(), 10)
         self.assertEqual(process.returncode, 0)
-        events = [_event_name(line) for line in output.splitlines()]
+        lines = [json.loads(line) for line in output.splitlines()]
+        events = [line.get('event') for line in lines]
         for event in (
             'node_started',
             'configuration_in_force',
@@ -87,6 +87,11 @@
         ):
             with self.subTest(event=event):
                 self.assertIn(event, events)
+        stopping = lines[events.index('node_stopping')]
+        self.assertEqual(stopping['signal'], 'SIGTERM')
+        self.assertEqual(lines[-1]['event'], 'node_stopped')
+        self.assertEqual(lines[-1]['requests_cut_off'], 0)
+        self.assertLess(lines[-1]['seconds'], 6)
 
     async def _start(self) -> asyncio.subprocess.Process:
         process = await asyncio.create_subprocess_exec(
@@ -109,7 +114,3 @@
 def _kill_if_running(process: asyncio.subprocess.Process) -> None:
     if process.returncode is None:
         process.kill()
-
-
-def _event_name(line: bytes) -> Any:
-    return json.loads(line).get('event')
--- a/tests/platform/test_request_logs.py
+++ b/tests/platform/test_request_logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from structlog.testing import capture_logs
@@ -63,3 +64,41 @@
         ]
         self.assertEqual(len(found), 1, lines)
         return found[0]
+
+
+class CutOffLogTest(FleetTestCase):
+    """A node whose grace period ends before its calls do."""
+
+    grace_seconds = 1.0
+
+    async def test_request_cut_off_by_a_stop(self) -> None:
+        """The request is logged with its exit node, and the stop counts it."""
+        for vm in self.shop_vms:
+            vm.backend.faults.hangs = True
+        call = asyncio.create_task(
+            self.fleet.call(
+                self.caller_vm, '/book/a', figlane_request_id='wanted'
+            )
+        )
+        with capture_logs() as captured:
+            await asyncio.sleep(0.2)
+            self.caller_vm.node.stop('SIGTERM')
+            await self.caller_vm.task
+            line_by_event = {line['event']: line for line in captured}
+        self.caller_vm.clients.close()
+        await call
+        stopping = line_by_event['node_stopping']
+        self.assertEqual(stopping['signal'], 'SIGTERM')
+        self.assertFalse(stopping['is_repeated'])
+        self.assertEqual(stopping['calls'], 1)
+        self.assertEqual(stopping['executions'], 0)
+        cut_off = line_by_event['request_cut_off']
+        self.assertEqual(cut_off['request'], 'wanted')
+        self.assertEqual(cut_off['reason'], 'process-ends')
+        self.assertEqual(cut_off['call'], 'sent')
+        self.assertIn(cut_off['node'], {'vm-2', 'vm-3'})
+        self.assertGreater(cut_off['seconds'], 0.7)
+        stopped = line_by_event['node_stopped']
+        self.assertEqual(stopped['requests_cut_off'], 1)
+        self.assertLess(stopped['seconds'], 1.0)
+        self.assertGreater(stopped['seconds'], 0.5)
