--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from figlane.adapters.http_exchange import HttpFailure
 from figlane.entities.http import Answer
@@ -31,8 +32,18 @@
 _SEGMENT_BYTES = 1460
 _WINDOW_BYTES = 16_384
 
+# Times of further requests to stop, in seconds after the first one.
+_REPEATED_AFTER_SECONDS = (0.05, 1.0, 3.0)
+# Time for which a node serves callers until they know that it stops.
+_ENTRY_GRACE_SECONDS = 2.0
+# A call that begins while the node accepts every call, and lasts until shortly
+# before its drain ends.
+_LONG_CALL_AFTER_SECONDS = 1.3
+_LONG_CALL_SECONDS = 1.8
+
 # Id, time of sending, outcome and duration of a request.
 _Row = tuple[str, float, Answer | HttpFailure, float]
+_Load = asyncio.Task[list[_Row]]
 
 
 class PlannedStopTest(FleetTestCase):
@@ -46,16 +57,7 @@
         Callers without another node send requests until the process is gone.
         Each that is read gets an answer, and none that ran is refused.
         """
-        draw_seconds = functools.partial(
-            random.Random(4).uniform, _MIN_WORK_SECONDS, _MAX_WORK_SECONDS
-        )
-        for vm in self.shop_vms:
-            vm.backend.draw_seconds = draw_seconds
-        loads = [
-            asyncio.create_task(self._load(f'{number}'))
-            for number in range(_CALLERS)
-        ]
-        await asyncio.sleep(2 * _MAX_WORK_SECONDS)
+        loads = await self._start_load()
         self.caller_vm.node.stop()
         stopped_at = time.monotonic()
         await self.caller_vm.task
@@ -64,6 +66,16 @@
         self._check_outcomes(rows)
         self._check_last_served(stopped_at, rows)
 
+    async def test_repeated_stops_cut_off_no_request(self) -> None:
+        """Guards against a repeated signal that ends the process at once."""
+        loads = await self._start_load()
+        loads.append(asyncio.create_task(self._call_for_long()))
+        seconds = await self._stop_repeatedly()
+        rows = [row for load in await asyncio.gather(*loads) for row in load]
+        self._check_outcomes(rows)
+        self.assertLess(seconds, _GRACE_SECONDS)
+        self.assertGreater(seconds, _GRACE_SECONDS - _RESERVE_SECONDS)
+
     async def test_slow_reader_gets_the_whole_answer(self) -> None:
         """Guards against answers that are cut off while a caller reads them.
 
@@ -86,6 +98,47 @@
         await self.caller_vm.task
         self.assertLess(time.monotonic() - stopped_at, _GRACE_SECONDS - 1)
 
+    async def test_repeated_stops_of_an_idle_node(self) -> None:
+        """An idle node stops no earlier and no later for further signals."""
+        seconds = await self._stop_repeatedly()
+        self.assertGreater(seconds, _ENTRY_GRACE_SECONDS)
+        self.assertLess(seconds, _GRACE_SECONDS - 1)
+
+    async def _start_load(self) -> list[_Load]:
+        draw_seconds = functools.partial(
+            random.Random(4).uniform, _MIN_WORK_SECONDS, _MAX_WORK_SECONDS
+        )
+        self._draw_work(draw_seconds)
+        loads = [
+            asyncio.create_task(self._load(f'{number}'))
+            for number in range(_CALLERS)
+        ]
+        await asyncio.sleep(2 * _MAX_WORK_SECONDS)
+        return loads
+
+    async def _call_for_long(self) -> list[_Row]:
+        await asyncio.sleep(_LONG_CALL_AFTER_SECONDS)
+        draw_seconds = self.shop_vms[0].backend.draw_seconds
+        self._draw_work(lambda: _LONG_CALL_SECONDS)
+        call = asyncio.create_task(self._call('long'))
+        await self.wait_until(lambda: self._run_counts()['long'])
+        self._draw_work(draw_seconds)
+        return [await call]
+
+    async def _stop_repeatedly(self) -> float:
+        """Stop the callers' node several times and wait for its end.
+
+        :return: seconds from the first request to stop to the end.
+        """
+        node = self.caller_vm.node
+        loop = asyncio.get_running_loop()
+        stopped_at = time.monotonic()
+        node.stop()
+        for seconds in _REPEATED_AFTER_SECONDS:
+            loop.call_later(seconds, node.stop)
+        await self.caller_vm.task
+        return time.monotonic() - stopped_at
+
     def _check_last_served(self, stopped_at: float, rows: list[_Row]) -> None:
         """Check that a request with twice the longest time left is served."""
         served = [row for row in rows if getattr(row[2], 'status', 0) == _OK]
@@ -95,11 +148,7 @@
         self.assertGreater(last_sent_at, drain_ends_at - 2 * longest)
 
     def _check_outcomes(self, rows: list[_Row]) -> None:
-        runs = Counter(
-            request_id
-            for vm in self.shop_vms
-            for request_id in vm.backend.request_log.run_count_by_id.elements()
-        )
+        runs = self._run_counts()
         for request_id, _, outcome, _ in rows:
             with self.subTest(request=request_id):
                 if isinstance(outcome, HttpFailure):
@@ -109,22 +158,31 @@
                 else:
                     self.assertEqual(outcome.status, _OK)
 
+    def _draw_work(self, draw_seconds: Callable[[], float] | None) -> None:
+        for vm in self.shop_vms:
+            vm.backend.draw_seconds = draw_seconds
+
+    def _run_counts(self) -> Counter[str]:
+        return Counter(
+            request_id
+            for vm in self.shop_vms
+            for request_id in vm.backend.request_log.run_count_by_id.elements()
+        )
+
     async def _load(self, name: str) -> list[_Row]:
         rows = []
         while not self.caller_vm.task.done():
-            request_id = f'{name}-{len(rows)}'
-            sent_at = time.monotonic()
-            outcome = await self.fleet.call(
-                self.caller_vm,
-                '/book/a',
-                'POST',
-                figlane_request_id=request_id,
-            )
-            seconds = time.monotonic() - sent_at
-            rows.append((request_id, sent_at, outcome, seconds))
+            rows.append(await self._call(f'{name}-{len(rows)}'))
             await asyncio.sleep(0.02)
         return rows
 
+    async def _call(self, request_id: str) -> _Row:
+        sent_at = time.monotonic()
+        outcome = await self.fleet.call(
+            self.caller_vm, '/book/a', 'POST', figlane_request_id=request_id
+        )
+        return request_id, sent_at, outcome, time.monotonic() - sent_at
+
     async def _read_slowly(self) -> int:
         connection = socket.socket()
         connection.setsockopt(
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -3,24 +3,49 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 from unittest import IsolatedAsyncioTestCase
 
 from figlane.entities.http import Request
 from figlane.settings import split_address
 from standins.addresses import reserve_addresses, reserve_peer_address
-from standins.platform_backend import send
-from standins.platform_fleet import configuration
+from standins.platform_backend import PlatformBackend, send
+from standins.platform_fleet import API_KEY, HOST, configuration
 from standins.platform_store import PlatformStore
 
 _SCRIPT = Path(__file__).parents[2] / 'deploy' / 'node.py'
 # Time for a signal to reach a process.
 _SIGNAL_SECONDS = 0.1
+# Grace period of the settings, which is the default one.
+_GRACE_SECONDS = 6.0
+_SIGNAL_TIMEOUT_SECONDS = 10
+# Time of processing of the request that is open while the signals come.
+_WORK_SECONDS = 1.2
+# Pauses after each signal.
+_REPEATED_AFTER_SECONDS = (0.05, 0.5, 0)
+# Longest stop of a node that has not served anything.
+_EMPTY_STOP_SECONDS = 1.0
+# Runs a node that gets SIGTERM as soon as it handles signals.
+_STOPPED_AT_START = """
+import os, signal, sys
+from figlane.platform import node
+
+handle_signals = node.handle_signals
+
+def handle_and_send(*arguments):
+    handle_signals(*arguments)
+    os.kill(os.getpid(), signal.SIGTERM)
+
+node.handle_signals = handle_and_send
+sys.exit(node.main(()))
+"""
 _SETTINGS = """
 self: {{node: vm-1, ip: 127.0.0.1, zone: a, app_addr: "{app}", service: shop}}
 network:
@@ -93,10 +118,109 @@
         self.assertEqual(lines[-1]['requests_cut_off'], 0)
         self.assertLess(lines[-1]['seconds'], 6)
 
-    async def _start(self) -> asyncio.subprocess.Process:
+    async def test_repeated_signals_cut_off_no_request(self) -> None:
+        """Guards against a second SIGTERM that cuts off open requests."""
+        process = await self._start()
+        call = await self._open_call()
+        await _signal_repeatedly(
+            process, signal.SIGTERM, _REPEATED_AFTER_SECONDS
+        )
+        lines = await self._read_to_the_end(process)
+        self.assertEqual(await call, 200)
+        last = lines[-1]
+        stops = [line for line in lines if line['event'] == 'node_stopping']
+        self.assertEqual(
+            [line['is_repeated'] for line in stops], [False, True, True]
+        )
+        self.assertEqual(last['event'], 'node_stopped')
+        self.assertEqual(last['requests_cut_off'], 0)
+        self.assertGreater(last['seconds'], _WORK_SECONDS - _SIGNAL_SECONDS)
+        self.assertLess(last['seconds'], _GRACE_SECONDS)
+
+    async def test_second_interrupt(self) -> None:
+        """Guards against queued calls that are cut off by a second SIGINT.
+
+        The backend server runs one request, the other one waits for it.
+        """
+        process = await self._start()
+        running = await self._open_call()
+        queued = asyncio.create_task(self._call(b'queued'))
+        lines = await self._interrupt(process)
+        self.assertEqual(await queued, 503)
+        self.assertNotEqual(await running, 200)
+        cut_off = [line for line in lines if line['event'] == 'request_cut_off']
+        self.assertEqual([line['request'] for line in cut_off], ['open'])
+        last = lines[-1]
+        self.assertEqual(last['event'], 'node_stopped')
+        self.assertEqual(last['requests_cut_off'], 1)
+        self.assertLess(last['seconds'], _WORK_SECONDS - _SIGNAL_SECONDS)
+
+    async def test_stop_while_starting(self) -> None:
+        """Guards against a SIGTERM that gets lost before the sockets open."""
+        process = await self._start('-c', _STOPPED_AT_START)
+        lines = await self._read_to_the_end(process)
+        last = lines[-1]
+        self.assertEqual(last['event'], 'node_stopped')
+        self.assertLess(last['seconds'], _EMPTY_STOP_SECONDS)
+
+    async def _start_backend(self) -> PlatformBackend:
+        loop = asyncio.get_running_loop()
+        address = self.addresses['app']
+        backend = PlatformBackend(loop, 'i-1', 'shop', address)
+        backend.processing_seconds = _WORK_SECONDS
+        backend.slots = 1
+        await backend.start()
+        self.addCleanup(backend.server.close)
+        return backend
+
+    async def _open_call(self) -> asyncio.Task[int]:
+        """Send a request and wait until a backend server runs it.
+
+        :return: the task that waits for the status of the answer.
+        """
+        backend = await self._start_backend()
+        await self._until_ready()
+        self.assertEqual(await backend.announce(self.addresses['control']), 200)
+        call = asyncio.create_task(self._call())
+        async with asyncio.timeout(_SIGNAL_TIMEOUT_SECONDS):
+            while not backend.request_log.running:
+                await asyncio.sleep(0.02)
+        return call
+
+    async def _call(self, request_id: bytes = b'open') -> int:
+        headers = (
+            (b'host', HOST.encode()),
+            (b'figlane-request-id', request_id),
+            (b'api-key', API_KEY),
+        )
+        request = Request('POST', '/book/a', headers, b'body')
+        loop = asyncio.get_running_loop()
+        return await send(loop, self.addresses['entry'], request)
+
+    async def _interrupt(
+        self, process: asyncio.subprocess.Process
+    ) -> list[dict[str, Any]]:
+        await asyncio.sleep(_SIGNAL_SECONDS)
+        await _signal_repeatedly(process, signal.SIGINT, (_SIGNAL_SECONDS, 0))
+        return await self._read_to_the_end(process)
+
+    async def _read_to_the_end(
+        self, process: asyncio.subprocess.Process
+    ) -> list[dict[str, Any]]:
+        output, _ = await asyncio.wait_for(
+            process.communicate(), _SIGNAL_TIMEOUT_SECONDS
+        )
+        self.assertEqual(process.returncode, 0)
+        return [
+            line
+            for line in map(json.loads, output.splitlines())
+            if 'event' in line
+        ]
+
+    async def _start(self, *arguments: str) -> asyncio.subprocess.Process:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(_SCRIPT),
+            *(arguments or (str(_SCRIPT),)),
             env={**os.environ, 'FIGLANE_CONFIG': str(self.path)},
             stdout=asyncio.subprocess.PIPE,
         )
@@ -111,6 +235,17 @@
                 await asyncio.sleep(0.1)
 
 
+async def _signal_repeatedly(
+    process: asyncio.subprocess.Process,
+    number: signal.Signals,
+    pauses: tuple[float, ...],
+) -> None:
+    for seconds in pauses:
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(number)
+        await asyncio.sleep(seconds)
+
+
 def _kill_if_running(process: asyncio.subprocess.Process) -> None:
     if process.returncode is None:
         process.kill()
