Show that a stop drops pipelined requests

Callers that pipeline saw the connection closed after the answer to their first request; the second one, which had been read whole or in part, got no answer.

While a server closes, each answer says "connection: close" and closes the connection, also if other requests of the connection wait behind it (`ServerConnection._response_head`, `_end_response`). Both tests fail with IncompleteReadError in each of 8 runs.

--- a/tests/adapters/test_http_callback_server.py
+++ b/tests/adapters/test_http_callback_server.py
@@ -129,6 +129,30 @@
         self.writer.close()
         await stopping
 
+    async def test_stop_answers_pipelined_request(self) -> None:
+        """Guards against a pipelined request that a stop leaves unanswered."""
+        self.delay = 0.1
+        self.writer.write(_FIRST + _GET % {b'number': 2})
+        await asyncio.sleep(0.05)
+        self.server.start_closing()
+        stopping = self._stop()
+        self.assertTrue((await self._read_response()).endswith(b'/1'))
+        self.assertTrue((await self._read_response()).endswith(b'/2'))
+        self.assertEqual(await self.reader.read(), b'')
+        await stopping
+
+    async def test_stop_awaits_pipelined_body(self) -> None:
+        """Guards against closing behind an answer while a request comes in."""
+        self.delay = 0.1
+        self.writer.write(_FIRST + _POST)
+        await asyncio.sleep(0.05)
+        self.server.start_closing()
+        stopping = self._stop()
+        self.assertTrue((await self._read_response()).endswith(b'/1'))
+        self.writer.write(b'ab')
+        self.assertTrue((await self._read_response()).endswith(b'/ab'))
+        await stopping
+
     async def test_stop_answers_waiting_connection(self) -> None:
         """A connection in the listen queue is accepted and answered.
 
