Show that a late stop resets connections that wait

Callers that connect just before the end of a stop saw their connection reset after they had sent the request, which has not been read.

`CallbackHttpServer.stop` ends at the first check without an open request. A connection that waits to be accepted, or has been accepted and not read, is not counted: uvloop runs timers before it reads.

--- /dev/null
+++ b/tests/adapters/test_http_server_stop.py
@@ -0,0 +1,77 @@
+"""Stop of an HTTP server on the event loop of the node processes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from unittest import TestCase
+
+import uvloop
+
+from figlane.adapters.http_callback_server import (
+    CallbackHttpServer,
+    ServerConnection,
+)
+from figlane.adapters.request_reader import HttpRequest
+from figlane.settings import split_address
+from standins.addresses import reserve_addresses
+
+_CONNECTIONS = 20
+# Time for which the event loop is blocked, in seconds.
+_LATE_SECONDS = 0.1
+_ANSWER_BYTES = 1000
+_REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+_OK = 200
+
+
+class EmptyAnswers:
+    """Handler that answers each request at once."""
+
+    def on_request(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        """Answer a request.
+
+        :param connection: the connection.
+        :param request: the request.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_soon(connection.respond, _OK, ())
+
+    def on_disconnect(self, connection: ServerConnection) -> None:
+        """Ignore a caller that disconnects.
+
+        :param connection: the connection.
+        """
+
+
+class ServerStopTest(TestCase):
+    """Callers that connect while the server stops."""
+
+    def test_late_stop_answers_waiting_connections(self) -> None:
+        """Guards against a reset of connections whose request has arrived.
+
+        The loop is late, so that the end of the stop is due before they are
+        accepted.
+        """
+        uvloop.run(self._stop_late())
+
+    async def _stop_late(self) -> None:
+        loop = asyncio.get_running_loop()
+        server = CallbackHttpServer(loop, EmptyAnswers())
+        address = split_address(reserve_addresses(1)[0])
+        await server.start(*address)
+        server.start_closing()
+        stopping = asyncio.create_task(server.stop(1))
+        await asyncio.sleep(0)
+        connections = [
+            self.enterContext(socket.create_connection(address))
+            for _ in range(_CONNECTIONS)
+        ]
+        for connection in connections:
+            connection.sendall(_REQUEST)
+        time.sleep(_LATE_SECONDS)
+        await stopping
+        for answered in connections:
+            self.assertIn(b' 200 ', answered.recv(_ANSWER_BYTES))
