Show that a signal that is handled late is followed by a kill

Callers had their requests closed without an answer, run by backend servers, when the node was paused as SIGTERM came: it counted the grace period from the moment at which it went on, and was killed with SIGKILL at the end of the real one.

`Node.stop` runs when the event loop gets to it, and `PlatformInterface.request_shutdown` takes that moment for the beginning of the grace period.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -22,6 +22,8 @@
 _SCRIPT = Path(__file__).parents[2] / 'deploy' / 'node.py'
 # Time for a signal to reach a process.
 _SIGNAL_SECONDS = 0.1
+# Grace period of a process that handles its signal late, in seconds.
+_LATE_GRACE = 3
 _SETTINGS = """
 self: {{node: vm-1, ip: 127.0.0.1, zone: a, app_addr: "{app}", service: shop}}
 network:
@@ -88,6 +90,32 @@
             with self.subTest(event=event):
                 self.assertIn(event, events)
 
+    async def test_late_signal_ends_in_time(self) -> None:
+        """Guards against a grace period that begins when the signal is seen.
+
+        The process is paused when the signal comes. A request that stays half
+        received makes it use the whole grace period.
+        """
+        with self.path.open('a', encoding='utf-8') as settings:
+            settings.write(f'terms: {{bounds: {{grace: {_LATE_GRACE}s}}}}\n')
+        process = await self._start()
+        await self._until_ready()
+        await self._send_half_request()
+        process.send_signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_LATE_GRACE):
+            await asyncio.sleep(_LATE_GRACE / 2)
+            process.send_signal(signal.SIGCONT)
+            await process.communicate()
+        self.assertEqual(process.returncode, 0)
+
+    async def _send_half_request(self) -> None:
+        address = split_address(self.addresses['entry'])
+        _, writer = await asyncio.open_connection(*address)
+        self.addCleanup(writer.close)
+        writer.write(b'POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\n')
+        await asyncio.sleep(_SIGNAL_SECONDS)
+
     async def _start(self) -> asyncio.subprocess.Process:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
