--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -46,6 +46,8 @@
 node.handle_signals = handle_and_send
 sys.exit(node.main(()))
 """
+# Grace period of a process that handles its signal late, in seconds.
+_LATE_GRACE = 3
 _SETTINGS = """
 self: {{node: vm-1, ip: 127.0.0.1, zone: a, app_addr: "{app}", service: shop}}
 network:
@@ -163,6 +165,25 @@
         self.assertEqual(last['event'], 'node_stopped')
         self.assertLess(last['seconds'], _EMPTY_STOP_SECONDS)
 
+    async def test_late_signal_ends_in_time(self) -> None:
+        """Guards against a grace period that begins when the signal is seen.
+
+        The process is paused when the signal comes. A request that stays half
+        received makes it use the whole grace period.
+        """
+        with self.path.open('a', encoding='utf-8') as settings:
+            settings.write(f'terms: {{bounds: {{grace: {_LATE_GRACE}s}}}}\n')
+        process = await self._start()
+        await self._until_ready()
+        await self._send_half_request()
+        process.send_signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_LATE_GRACE):
+            await asyncio.sleep(_LATE_GRACE / 2)
+            process.send_signal(signal.SIGCONT)
+            await process.communicate()
+        self.assertEqual(process.returncode, 0)
+
     async def _start_backend(self) -> PlatformBackend:
         loop = asyncio.get_running_loop()
         address = self.addresses['app']
@@ -217,6 +238,13 @@
             if 'event' in line
         ]
 
+    async def _send_half_request(self) -> None:
+        address = split_address(self.addresses['entry'])
+        _, writer = await asyncio.open_connection(*address)
+        self.addCleanup(writer.close)
+        writer.write(b'POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\n')
+        await asyncio.sleep(_SIGNAL_SECONDS)
+
     async def _start(self, *arguments: str) -> asyncio.subprocess.Process:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
