Show that calls outlast the stop of their entry node

A call that is sent while its entry node stops carries its own time limit. Where the backend servers turn slower meanwhile, it runs past the end of the process and its caller is cut off.

The stand-in for a backend server can keep to the time limit that it receives.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -16,13 +16,15 @@
 )
 from figlane.adapters.http_client import HttpPool
 from figlane.adapters.request_reader import HttpRequest
-from figlane.entities.http import Request
+from figlane.entities.http import Headers, Request
 from figlane.settings import split_address
 
 _OK = 200
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+_TIME_LIMIT_REACHED = 504
 _MS_PER_SECOND = 1000
+_DEADLINE_HEADER = b'figlane-deadline-ms'
 _REQUEST_ID_HEADER = b'figlane-request-id'
 _SEAL_HEADER = b'figlane-response-seal'
 HEALTH_PATH = '/health'
@@ -89,6 +91,8 @@
         self.processing_seconds = 0.005
         # Draws the time of processing of each request, if it is set.
         self.draw_seconds: Callable[[], float] | None = None
+        # Whether a request ends with 504 at the time limit that it carries.
+        self.keeps_time_limit = False
         self.body_bytes = 400
         self.state = 'ready'
         self.cold_remaining = '0ms'
@@ -144,8 +148,8 @@
                 return
         self.request_log.requests.append(request)
         self.request_log.run_count_by_id[request_id] += 1
-        task = self._loop.create_task(self._run(connection, request_id))
-        self._task_by_connection[connection] = task
+        run = self._run(connection, request_id, self._time_limit(received))
+        self._task_by_connection[connection] = self._loop.create_task(run)
 
     def on_disconnect(self, connection: ServerConnection) -> None:
         """Cancel a request whose caller has closed the connection.
@@ -214,29 +218,54 @@
         )
         connection.respond(_UNAVAILABLE, headers)
 
-    async def _run(self, connection: ServerConnection, request_id: str) -> None:
+    def _time_limit(self, received: dict[bytes, bytes]) -> float | None:
+        if not self.keeps_time_limit:
+            return None
+        return int(received[_DEADLINE_HEADER]) / _MS_PER_SECOND
+
+    async def _run(
+        self,
+        connection: ServerConnection,
+        request_id: str,
+        time_limit: float | None,
+    ) -> None:
         log = self.request_log
         log.running += 1
         log.peak_running = max(log.peak_running, log.running)
+        respond = self._respond
         try:
-            if self.draw_seconds is None:
-                await asyncio.sleep(self.processing_seconds)
-            else:
-                await asyncio.sleep(self.draw_seconds())
-            if self.faults.hangs:
-                await asyncio.Event().wait()
+            async with asyncio.timeout(time_limit):
+                await self._process()
+        except TimeoutError:
+            respond = self._respond_time_limit
         finally:
             log.running -= 1
         self._task_by_connection.pop(connection, None)
-        self._respond(connection, request_id)
+        respond(connection, request_id)
 
-    def _respond(self, connection: ServerConnection, request_id: str) -> None:
-        body = request_id.encode().ljust(self.body_bytes, b'.')
-        headers = (
+    async def _process(self) -> None:
+        if self.draw_seconds is None:
+            await asyncio.sleep(self.processing_seconds)
+        else:
+            await asyncio.sleep(self.draw_seconds())
+        if self.faults.hangs:
+            await asyncio.Event().wait()
+
+    def _respond_time_limit(
+        self, connection: ServerConnection, request_id: str
+    ) -> None:
+        connection.respond(_TIME_LIMIT_REACHED, self._headers(request_id))
+
+    def _headers(self, request_id: str) -> Headers:
+        return (
             (_REQUEST_ID_HEADER, request_id.encode()),
             (_SEAL_HEADER, f'seal-{request_id}'.encode()),
             *self.notice_headers,
         )
+
+    def _respond(self, connection: ServerConnection, request_id: str) -> None:
+        body = request_id.encode().ljust(self.body_bytes, b'.')
+        headers = self._headers(request_id)
         if self.faults.resets:
             connection.abort_response()
         elif self.faults.cuts:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -21,8 +21,18 @@
 _CALLERS = 8
 _MIN_WORK_SECONDS = 0.2
 _MAX_WORK_SECONDS = 0.6
+# Time in the grace period after which the servers turn slow, how much slower
+# they are then, and their times of work before.
+_SLOW_AFTER_SECONDS = 2.4
+_SLOWDOWN = 6
+_MIN_FAST_SECONDS = 0.05
+_MAX_FAST_SECONDS = 0.3
+_SLOW_CALLERS = 20
+# Time until what a node has written has reached its callers.
+_DELIVERY_SECONDS = 0.05
 _OK = 200
 _UNAVAILABLE = 503
+_TIME_LIMIT_REACHED = 504
 # More than the kernel's buffers hold, and less than the flow-control window.
 _SLOW_BODY_BYTES = 1_000_000
 _SLOW_SECONDS = 2.8
@@ -33,6 +43,18 @@
 
 # Id, time of sending, outcome and duration of a request.
 _Row = tuple[str, float, Answer | HttpFailure, float]
+_LoadTask = asyncio.Task[list[_Row]]
+
+
+_work_times = random.Random(4)
+
+
+def _draw_fast() -> float:
+    return _work_times.uniform(_MIN_FAST_SECONDS, _MAX_FAST_SECONDS)
+
+
+def _draw_slow() -> float:
+    return _SLOWDOWN * _draw_fast()
 
 
 class PlannedStopTest(FleetTestCase):
@@ -51,10 +73,7 @@
         )
         for vm in self.shop_vms:
             vm.backend.draw_seconds = draw_seconds
-        loads = [
-            asyncio.create_task(self._load(f'{number}'))
-            for number in range(_CALLERS)
-        ]
+        loads = self._start_loads(_CALLERS)
         await asyncio.sleep(2 * _MAX_WORK_SECONDS)
         self.caller_vm.node.stop()
         stopped_at = time.monotonic()
@@ -64,6 +83,43 @@
         self._check_outcomes(rows)
         self._check_last_served(stopped_at, rows)
 
+    async def test_slower_servers_cut_no_request_off(self) -> None:
+        """Guards against requests cut off by the stop at slower servers.
+
+        Requests that the servers can no longer end in time get the servers'
+        own answer at the time limit, and none that ran is refused.
+        """
+        for vm in self.shop_vms:
+            vm.backend.keeps_time_limit = True
+            vm.backend.draw_seconds = _draw_fast
+        loads = self._start_loads(_SLOW_CALLERS)
+        await asyncio.sleep(2 * _MAX_FAST_SECONDS)
+        self.caller_vm.node.stop()
+        await asyncio.sleep(_SLOW_AFTER_SECONDS)
+        for slow_vm in self.shop_vms:
+            slow_vm.backend.draw_seconds = _draw_slow
+        rows = await self._end_loads(loads)
+        self._check_slow_outcomes(rows)
+
+    async def test_unanswered_request_gets_a_final_answer(self) -> None:
+        """Guards against connections that are closed while servers hang."""
+        for vm in self.shop_vms:
+            vm.backend.draw_seconds = _draw_fast
+        loads = self._start_loads(_CALLERS)
+        await asyncio.sleep(2 * _MAX_FAST_SECONDS)
+        self.caller_vm.node.stop()
+        await asyncio.sleep(_SLOW_AFTER_SECONDS)
+        for hanging_vm in self.shop_vms:
+            hanging_vm.backend.faults.hangs = True
+        rows = await self._end_loads(loads)
+        runs = self._runs_by_id()
+        statuses = {
+            getattr(outcome, 'status', 0)
+            for request_id, _, outcome, _ in rows
+            if runs[request_id]
+        }
+        self.assertEqual(statuses, {_OK, _TIME_LIMIT_REACHED})
+
     async def test_slow_reader_gets_the_whole_answer(self) -> None:
         """Guards against answers that are cut off while a caller reads them.
 
@@ -95,11 +151,7 @@
         self.assertGreater(last_sent_at, drain_ends_at - 2 * longest)
 
     def _check_outcomes(self, rows: list[_Row]) -> None:
-        runs = Counter(
-            request_id
-            for vm in self.shop_vms
-            for request_id in vm.backend.request_log.run_count_by_id.elements()
-        )
+        runs = self._runs_by_id()
         for request_id, _, outcome, _ in rows:
             with self.subTest(request=request_id):
                 if isinstance(outcome, HttpFailure):
@@ -109,6 +161,41 @@
                 else:
                     self.assertEqual(outcome.status, _OK)
 
+    def _runs_by_id(self) -> Counter[str]:
+        return Counter(
+            request_id
+            for vm in self.shop_vms
+            for request_id in vm.backend.request_log.run_count_by_id.elements()
+        )
+
+    def _check_slow_outcomes(self, rows: list[_Row]) -> None:
+        runs = self._runs_by_id()
+        statuses: Counter[int] = Counter()
+        for request_id, _, outcome, _ in rows:
+            status = getattr(outcome, 'status', 0)
+            statuses[status] += 1
+            with self.subTest(request=request_id):
+                if status == _TIME_LIMIT_REACHED:
+                    # The server's answer, and not one of the node.
+                    names = {name for name, _ in outcome.headers}
+                    self.assertIn(b'figlane-response-seal', names)
+                elif status != _OK:
+                    self.assertEqual(runs[request_id], 0, outcome)
+        self.assertGreater(statuses[_TIME_LIMIT_REACHED], 0, statuses)
+
+    def _start_loads(self, count: int) -> list[_LoadTask]:
+        return [
+            asyncio.create_task(self._load(f'{number}'))
+            for number in range(count)
+        ]
+
+    async def _end_loads(self, loads: list[_LoadTask]) -> list[_Row]:
+        await self.caller_vm.task
+        await asyncio.sleep(_DELIVERY_SECONDS)
+        # As the end of a process does with the connections that are left.
+        self.caller_vm.clients.close()
+        return [row for load in await asyncio.gather(*loads) for row in load]
+
     async def _load(self, name: str) -> list[_Row]:
         rows = []
         while not self.caller_vm.task.done():
