End what is sent during a planned stop before the process ends

Cause: a call is accepted if the longest recent one of its route would end in the drain, but it was sent with its own time limit. Nothing ended it with the node, so that the estimate was the only bound, and a slower server makes it wrong.

What is sent while a process stops now has no more time than the drain: the budget of the attempt ends with it, and so does the time limit that the server is told. The exit node refuses as not run what cannot start in time. What is then unanswered, whenever it was sent, ends with an unknown outcome before the interface closes the connections of callers. The estimate still decides alone whether a call is sent. A call that an exit node refuses since the stop leaves too little time is told when the next process is up. Nodes of older versions pass over the new field.

--- a/src/figlane/entities/execution.py
+++ b/src/figlane/entities/execution.py
@@ -30,12 +30,14 @@
 
     ``id`` is the call's id and ``entry_node_id`` its entry node. The backend
     server sends ``context_token`` with its child calls while the execution
-    runs. ``retries_left`` is the number of retries that the child calls share.
-    ``ledger_key`` is the digest of service, organisation and idempotency key,
-    empty for a call that is not deduplicated by key. ``open_child_keys`` holds
-    the child calls without a successful answer yet. ``flow_id`` is the flow in
-    which the execution is queued, empty if it is in none. ``child_intervals``
-    holds the times of arrival and end of the finished child calls.
+    runs. An execution that runs at its ``deadline`` may be answered for
+    ``answer_seconds`` more. ``retries_left`` is the number of retries that the
+    child calls share. ``ledger_key`` is the digest of service, organisation and
+    idempotency key, empty for a call that is not deduplicated by key.
+    ``open_child_keys`` holds the child calls without a successful answer yet.
+    ``flow_id`` is the flow in which the execution is queued, empty if it is in
+    none. ``child_intervals`` holds the times of arrival and end of the finished
+    child calls.
     """
 
     id: str
@@ -60,6 +62,7 @@
     ended_at: float = 0
     flow_id: str = ''
     child_intervals: list[tuple[float, float]] = field(default_factory=list)
+    answer_seconds: float = 0
     outcome: Answer | Refusal | StreamedAnswer | None = None
     span: Span | None = None
     phase: ExecutionPhase = ExecutionPhase.QUEUED
--- a/src/figlane/entities/messages.py
+++ b/src/figlane/entities/messages.py
@@ -12,7 +12,9 @@
     """Request that offers one attempt of a call to an exit node.
 
     ``budget_ms`` is the time from ``sent_at`` until the deadline in
-    milliseconds; ``sent_at`` is in seconds of the sender's clock.
+    milliseconds; ``sent_at`` is in seconds of the sender's clock. ``answer_ms``
+    is how long after the deadline the sender still waits for an answer that the
+    backend server gives at the deadline.
     ``retries_left`` is the share of the root call's retries that child calls
     of this attempt may use. ``epoch`` is the receiver's ledger epoch as known
     to the sender, 0 if unknown; ``sender_epoch`` is the sender's own.
@@ -37,6 +39,7 @@
     epoch: int = 0
     sender_epoch: int = 0
     reply_address: str = ''
+    answer_ms: float = 0
 
 
 @dataclass(slots=True)
--- a/src/figlane/systems/admission/ledger.py
+++ b/src/figlane/systems/admission/ledger.py
@@ -298,4 +298,5 @@
         queued_at=now,
         trace_parent=message.trace_parent,
         ledger_key=message.idempotency_key,
+        answer_seconds=message.answer_ms / _MS_PER_SECOND,
     )
--- a/src/figlane/systems/calls/expiry.py
+++ b/src/figlane/systems/calls/expiry.py
@@ -21,7 +21,7 @@
 
     A call that waits for a backoff or for a node's ledger epoch is routed when
     the wait ends. A call that was sent may have run, and its outcome is
-    unknown.
+    unknown; it is due before its deadline if this node stops before.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -39,6 +39,8 @@
     if call.phase is CallPhase.SENT:
         cancel_attempt(world, call)
         detail = f'no answer from {call.node_id} by the deadline'
+        if now < call.deadline:
+            detail = f'no answer from {call.node_id} before this node stops'
         finish_call(world, call, Refusal(ErrorKind.OUTCOME_UNKNOWN, detail))
         return
     detail = f'the deadline passed while the call was {call.phase.value}'
@@ -54,7 +56,8 @@
     """End executions past their deadline and remove expired ledger entries.
 
     An execution that is running may have taken effect, and its outcome is
-    unknown; one that is queued has not run.
+    unknown; one that is queued has not run. A running one is ended later if
+    time is reserved for the answer that the server gives at the deadline.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -67,6 +70,10 @@
     if execution.phase is ExecutionPhase.RECORDED:
         remove_expired_execution(world, execution)
         return
+    answered_by = execution.deadline + execution.answer_seconds
+    if execution.phase is ExecutionPhase.RUNNING and now < answered_by:
+        world.executions.schedule(execution, answered_by)
+        return
     if execution.phase is ExecutionPhase.CLAIMING:
         outcome = Refusal(
             ErrorKind.UNREACHABLE,
--- a/src/figlane/systems/calls/retry_hints.py
+++ b/src/figlane/systems/calls/retry_hints.py
@@ -12,6 +12,7 @@
 from figlane.entities.node_drain import DRAIN_ID
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, ExecutionStatus, Refusal
+from figlane.systems.calls.time_limits import time_limit
 
 # Bounds of the retry-after time. Queues drain within half a second; the lower
 # bound is about the duration of one call.
@@ -57,7 +58,7 @@
     if refusal.kind not in _RETRY_AFTER_KINDS:
         return refusal
     seconds_left = call.arrived_at + call.caller_timeout - now
-    earliest = _seconds_until_restart(world, refusal, now)
+    earliest = _seconds_until_restart(world, call, refusal, now)
     longest_wait = max(0, seconds_left * _MAX_WAIT_FRACTION)
     upper = min(earliest + _MAX_RETRY_AFTER_SECONDS, longest_wait)
     lower = min(earliest + _MIN_RETRY_AFTER_SECONDS, upper)
@@ -65,10 +66,18 @@
     return Refusal(refusal.kind, refusal.detail, seconds)
 
 
-def _seconds_until_restart(world: World, refusal: Refusal, now: float) -> float:
+def _seconds_until_restart(
+    world: World, call: Call, refusal: Refusal, now: float
+) -> float:
     drain = world.node_drains.get(DRAIN_ID)
     if drain is None or not drain.stops_process:
         return 0
-    if refusal.kind is not ErrorKind.DRAINING:
+    if not _is_refused_by_stop(world, call, refusal):
         return 0
     return max(0, drain.ends_by - now) + _START_SECONDS
+
+
+def _is_refused_by_stop(world: World, call: Call, refusal: Refusal) -> bool:
+    if refusal.kind is ErrorKind.DEADLINE_EXCEEDED:
+        return time_limit(world, call) < call.deadline
+    return refusal.kind is ErrorKind.DRAINING
--- a/src/figlane/systems/calls/routing.py
+++ b/src/figlane/systems/calls/routing.py
@@ -17,6 +17,7 @@
 from figlane.systems.calls.lifecycle import finish_call
 from figlane.systems.calls.retries import allot_retries, credit_retry_budget
 from figlane.systems.calls.stopping import stop_refusal
+from figlane.systems.calls.time_limits import answer_seconds, time_limit
 from figlane.systems.links.handshake import needs_handshake, start_handshake
 from figlane.systems.links.liveness import monitor_call_link
 from figlane.systems.links.messages import send_message
@@ -120,7 +121,7 @@
         importance=call.importance,
         idempotent=call.route is not None and call.route.idempotent,
         depth=call.depth,
-        budget_ms=(call.deadline - now) * _MS_PER_SECOND,
+        budget_ms=(time_limit(world, call) - now) * _MS_PER_SECOND,
         retries_left=allot_retries(world, call),
         method=call.request.method,
         target=call.request.target,
@@ -131,6 +132,7 @@
         epoch=call.node_epoch,
         sender_epoch=ledger_epoch(world),
         reply_address=world.identity.peer_address,
+        answer_ms=answer_seconds(world, call) * _MS_PER_SECOND,
     )
 
 
--- a/src/figlane/systems/calls/stopping.py
+++ b/src/figlane/systems/calls/stopping.py
@@ -16,6 +16,7 @@
 from figlane.systems.calls.durations import longest_duration
 from figlane.systems.calls.lifecycle import finish_call
 from figlane.systems.calls.queries import withdraw_attempt
+from figlane.systems.calls.time_limits import ANSWER_SECONDS
 from figlane.systems.registry import Stage, system
 
 # Time for which a leaving node still accepts root calls as entry node.
@@ -91,7 +92,7 @@
 
     Calls without an open attempt are refused. The other attempts are withdrawn
     at their exit nodes, which refuse those that do not run yet. What runs may
-    still be answered until the process ends.
+    be answered for a short time more; then its outcome is unknown.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -115,3 +116,10 @@
             ),
         )
         withdraw_attempt(world, sent, now)
+        _schedule_final_answer(world, sent, now)
+
+
+def _schedule_final_answer(world: World, call: Call, now: float) -> None:
+    # The status of a streamed answer has already been sent.
+    if call.id not in world.incoming_streams:
+        world.calls.schedule(call, min(call.deadline, now + ANSWER_SECONDS))
