Show that runs outlast the stop of their exit node unreported

An execution that runs when the drain of its exit node ends keeps its own time limit. Nothing tells the entry node that the process ends, so that the caller of a call that is not idempotent waits until its deadline, and an idempotent call is sent again only once the link has gone silent.

That a drain without a stop of the process ends no run is shown by a test that passes.

--- /dev/null
+++ b/tests/systems/admission/test_stopping.py
@@ -0,0 +1,72 @@
+"""Tests of executions that are open while their exit node stops."""
+
+from __future__ import annotations
+
+from figlane.errors import ErrorKind
+from tests.systems.calls.stopping_case import (
+    DRAIN_SECONDS,
+    StoppingCase,
+)
+
+_EXIT_NODES = ('a1', 'a2')
+_QUEUE_SECONDS = 0.2
+
+
+class ExitStopTest(StoppingCase):
+    """An exit node that stops while its backend server works on."""
+
+    def test_run_at_the_end_is_reported(self) -> None:
+        """Guards against callers that wait for an exit node that is gone.
+
+        The entry node learns before the process ends that the call may have
+        run, and tells its caller at once.
+        """
+        call = self.network.arrive('POST')
+        self.drain(node=self.run_of(call).node)
+        self.advance_to(0, self.run_of(call).node)
+        self.network.deliver_all()
+        outcomes = self.network.outcomes_by_call.get(call, [])
+        kinds = [outcome.kind for outcome in outcomes]
+        self.assertEqual(kinds, [ErrorKind.OUTCOME_UNKNOWN])
+
+    def test_idempotent_run_is_repeated(self) -> None:
+        """An idempotent call that outlasts its exit node runs at another."""
+        call = self.network.arrive('GET')
+        first = self.run_of(call)
+        self.drain(node=first.node)
+        self.advance_to(0, first.node)
+        self.network.deliver_all()
+        nodes = [
+            run.node
+            for run in self.network.runs
+            if run.row.execution_id == call
+        ]
+        self.assertEqual(len(set(nodes)), 2)
+
+    def test_run_that_starts_in_the_drain(self) -> None:
+        """A server that starts a queued call is told when its node stops."""
+        for node in _EXIT_NODES:
+            self.server(node).slots = 1
+        calls = [self.network.arrive('POST') for _ in range(4)]
+        self.network.deliver_all()
+        first, _ = self.network.open_runs()
+        self.drain(node=first.node)
+        self.advance_to(DRAIN_SECONDS - _QUEUE_SECONDS, first.node)
+        self.network.finish(first, 'answer')
+        started = [
+            run
+            for run in self.network.open_runs()
+            if run.node == first.node and run.row.execution_id in calls
+        ]
+        self.assertEqual(len(started), 1)
+        seconds_left = DRAIN_SECONDS - _QUEUE_SECONDS
+        self.assertLess(started[0].row.timeout, seconds_left)
+
+    def test_operators_drain_ends_no_run(self) -> None:
+        """A drain without a stop of the process lets all runs end."""
+        call = self.network.arrive('POST')
+        node = self.run_of(call).node
+        self.drain(node=node, stops_process=False)
+        self.advance_to(-1, node)
+        self.answer_all()
+        self.assertEqual(self.refusals(), [])
--- a/tests/systems/calls/stopping_case.py
+++ b/tests/systems/calls/stopping_case.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from figlane.entities.backend_server import BackendServer
 from figlane.entities.node_drain import DRAIN_ID, DrainRequested
 from figlane.errors import ErrorKind, Refusal
 from figlane.systems.calls.durations import MARGIN_CALLS
@@ -117,3 +118,11 @@
             for outcome in outcomes
             if isinstance(outcome, Refusal)
         ]
+
+    def server(self, node: str) -> BackendServer:
+        """Find the backend server beside a node.
+
+        :param node: the node.
+        :return: the backend server.
+        """
+        return self.network.world_by_node[node].backend_servers.by_id['i']
--- a/tests/systems/calls/test_stopping.py
+++ b/tests/systems/calls/test_stopping.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from figlane.entities.backend_server import BackendServer
 from figlane.entities.node_drain import DRAIN_ID, DrainPhase
 from figlane.errors import ErrorKind
 from figlane.systems.calls.durations import MARGIN_CALLS, WINDOW_SECONDS
@@ -133,7 +132,7 @@
         """
         self.measure('POST', SHORT_SECONDS)
         for node in ('a1', 'a2'):
-            self._server(node).slots = 1
+            self.server(node).slots = 1
         while len(self.network.open_runs()) < 2:
             self.network.arrive('GET')
             self.network.deliver_all()
@@ -183,6 +182,3 @@
         self.advance_to(-1)
         self.answer_all()
         self.assertEqual(self.refusals(), [])
-
-    def _server(self, node: str) -> BackendServer:
-        return self.network.world_by_node[node].backend_servers.by_id['i']
