Report runs that outlast the stop of their exit node

Where an exit node stopped while its backend server ran a call, its entry node was not told: nothing but the missing pongs of the link showed that the process was gone. By the code, an idempotent call was sent again after 2 s without them, and the caller of another one waited for 10 s or until its own deadline.

Cause: executions kept the time limit that their entry node had granted, and the end of the drain looked at calls only.

An execution that starts while the process stops is told a limit 0.15 s before the end of the drain, and what runs at the end is ended as unknown. The entry node learns it in the same tick, sends an idempotent call elsewhere and answers the others. The deadline of the execution stays, so that child calls are still accepted by their estimate.

No real process was stopped with such a run.

--- a/src/figlane/systems/admission/control.py
+++ b/src/figlane/systems/admission/control.py
@@ -35,6 +35,7 @@
     shed_candidate,
     start_candidate,
 )
+from figlane.systems.admission.stopping import run_limit, schedule_end
 from figlane.systems.registry import Stage, deadline_policies, system
 
 _TOKEN_BYTES = 16
@@ -240,6 +241,7 @@
     world.latencies.add('queue', execution.service_id, waited)
     world.execution_by_token[token] = execution.id
     world.executions.move(execution, ExecutionPhase.RUNNING)
+    schedule_end(world, execution)
     world.outbox.append(
         RunOnBackend(
             execution_id=execution.id,
@@ -248,7 +250,7 @@
             address=backend.address,
             connections=backend.connections,
             request=execution.request,
-            timeout=execution.deadline - now,
+            timeout=max(0, run_limit(world, execution) - now),
             organisation_id=execution.organisation_id,
             context_token=token,
             trace_parent=execution.trace_parent,
--- a/src/figlane/systems/calls/expiry.py
+++ b/src/figlane/systems/calls/expiry.py
@@ -10,6 +10,7 @@
 from figlane.registry import RunCondition
 from figlane.systems.admission.execution import end_execution
 from figlane.systems.admission.ledger import remove_expired_execution
+from figlane.systems.admission.stopping import answered_by
 from figlane.systems.calls.lifecycle import cancel_attempt, finish_call
 from figlane.systems.links.handshake import abort_handshake
 from figlane.systems.registry import Stage, system
@@ -57,7 +58,8 @@
 
     An execution that is running may have taken effect, and its outcome is
     unknown; one that is queued has not run. A running one is ended later if
-    time is reserved for the answer that the server gives at the deadline.
+    time is reserved for the answer that the server gives at the deadline, and
+    before its deadline if this node stops before.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -70,9 +72,9 @@
     if execution.phase is ExecutionPhase.RECORDED:
         remove_expired_execution(world, execution)
         return
-    answered_by = execution.deadline + execution.answer_seconds
-    if execution.phase is ExecutionPhase.RUNNING and now < answered_by:
-        world.executions.schedule(execution, answered_by)
+    ends_at = answered_by(world, execution)
+    if execution.phase is ExecutionPhase.RUNNING and now < ends_at:
+        world.executions.schedule(execution, ends_at)
         return
     if execution.phase is ExecutionPhase.CLAIMING:
         outcome = Refusal(
@@ -86,5 +88,9 @@
     else:
         world.outbox.append(CancelOnBackend(execution.id))
         detail = 'the deadline passed while the backend server ran the call'
+        if now < execution.deadline:
+            detail = (
+                'the exit node stops while the backend server runs the call'
+            )
         outcome = Refusal(ErrorKind.OUTCOME_UNKNOWN, detail)
     end_execution(world, execution, outcome, now)
