Let a repeated SIGTERM change nothing

What callers saw: a second SIGTERM within the grace period ended the process 0.2 to 0.4 s later. At figlane-node, calls that other nodes had sent were cut off; its own callers were waited for.

Cause: a second request to stop ended the wait of Node.run, for any signal, and the platform's interface set the end of its grace period to that moment.

Change: the grace period of the first request goes on, whatever comes after it. SIGTERM, and one SIGINT beside it, change nothing but leave a node_stopping line. A second SIGINT, as from a terminal, still ends the process at once (Node.stop_now), but first the drain is ended in the tables, which refuses the calls that wait and withdraws those that are queued at their exit nodes, and 0.2 s are left for answers that are ready. figlane-node did not end for a second SIGINT as long as one of its callers had an open request; it does now. The fleet of the tests ends its nodes with the same method in place of two calls of stop.

One assertion of test_second_interrupt, that node_stopped is the last line, is replaced: the call that is cut off still gets its call_refused line when the process closes its connections to backend servers. The test now also checks that the second signal is logged as immediate.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -460,7 +460,7 @@
 class CallbackHttpServer:
     """HTTP server: a listening socket and its connections."""
 
-    __slots__ = ('_server', 'state')
+    __slots__ = ('_server', '_stops_by', 'state')
 
     def __init__(
         self,
@@ -476,6 +476,7 @@
         """
         self.state = ServerState(loop, handler, report_cut_off)
         self._server: asyncio.Server | None = None
+        self._stops_by: float = 0
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address.
@@ -506,9 +507,9 @@
         :param seconds: the longest wait for open requests, in seconds.
         """
         loop = self.state.loop
-        ends_at = loop.time() + seconds
+        self._stops_by = loop.time() + seconds
         is_busy = True
-        while is_busy and loop.time() < ends_at:
+        while is_busy and loop.time() < self._stops_by:
             await asyncio.sleep(_STOP_CHECK_SECONDS)
             is_busy = any(
                 connection.is_busy for connection in self.state.connections
@@ -517,6 +518,13 @@
             connection.report_cut_off(CutOffReason.PROCESS_ENDS)
         self.close()
 
+    def shorten_stop(self, seconds: float) -> None:
+        """Shorten the wait of a stop that may already have begun.
+
+        :param seconds: the longest wait for open requests from now on.
+        """
+        self._stops_by = min(self._stops_by, self.state.loop.time() + seconds)
+
     def close(self) -> None:
         """Stop listening and close all idle connections."""
         if self._server is not None:
--- a/src/figlane/adapters/http_server.py
+++ b/src/figlane/adapters/http_server.py
@@ -95,11 +95,20 @@
         self._server = _Server(config)
 
     async def run(self) -> None:
-        """Serve requests until ``stop`` is called."""
+        """Serve requests until ``stop`` or ``stop_now`` is called."""
         await self._server.serve(sockets=[self._socket])
-        for connection in self._server.server_state.connections:
+        for connection in tuple(self._server.server_state.connections):
             connection.report_cut_off(CutOffReason.PROCESS_ENDS)
+            connection.transport.abort()
+        if self._server.force_exit:
+            # uvicorn leaves this out.
+            await self._server.lifespan.shutdown()
 
     def stop(self) -> None:
         """Stop accepting connections and shut down after the open requests."""
         self._server.should_exit = True
+
+    def stop_now(self) -> None:
+        """Shut down without waiting for the open requests."""
+        self._server.should_exit = True
+        self._server.force_exit = True
--- a/src/figlane/adapters/native_interface.py
+++ b/src/figlane/adapters/native_interface.py
@@ -32,6 +32,9 @@
 from figlane.entities.world import World
 from figlane.settings import NodeSettings
 
+# Time for the answers that are left if the node ends at once, in seconds.
+_LAST_ANSWERS_SECONDS = 0.2
+
 
 class NativeInterface:
     """Adapters of figlane's native network interface."""
@@ -41,6 +44,7 @@
         '_drain',
         '_entry',
         '_feed',
+        '_loop',
         '_platform',
         '_server_tasks',
         '_servers',
@@ -62,6 +66,7 @@
         :param loop: the event loop.
         :param deliver: receives inbox rows.
         """
+        self._loop = loop
         self._entry = HttpEntry(deliver)
         admin = HttpAdmin(world, deliver)
         HttpObjects(admin.application, deliver)
@@ -130,3 +135,8 @@
     def request_shutdown(self) -> None:
         """Request a graceful shutdown; the process exits after the drain."""
         self._drain.request_shutdown(stops_process=True)
+
+    def shorten_stop(self) -> None:
+        """Leave only the time for the last answers."""
+        for server in self._servers:
+            self._loop.call_later(_LAST_ANSWERS_SECONDS, server.stop_now)
--- a/src/figlane/composition.py
+++ b/src/figlane/composition.py
@@ -28,7 +28,7 @@
 from figlane.entities.gossip import SendDatagram
 from figlane.entities.inbox import NodeStarted
 from figlane.entities.link import CloseConnection, ReplaceConnection
-from figlane.entities.node_drain import NodeDrained
+from figlane.entities.node_drain import DrainEndRequested, NodeDrained
 from figlane.entities.outbox import LogDecision, SendToPeer
 from figlane.entities.world import (
     Identity,
@@ -74,7 +74,16 @@
         """Close the remaining connections."""
 
     def request_shutdown(self) -> None:
-        """Deliver the request for a graceful shutdown to the systems."""
+        """Deliver the request for a graceful shutdown to the systems.
+
+        It is called once.
+        """
+
+    def shorten_stop(self) -> None:
+        """Leave only the time for answers that are ready, from now on.
+
+        This also applies to a ``stop`` that is already waiting.
+        """
 
 
 @dataclass(slots=True)
@@ -191,18 +200,27 @@
         await self._close()
 
     def stop(self, signal_name: str = '') -> None:
-        """Start a graceful shutdown; a second call stops the node at once.
+        """Start a graceful shutdown; further calls change nothing.
 
         :param signal_name: name of the signal that requests it, if any.
         """
-        is_repeated = self._stop_requested_at is not None
-        if is_repeated:
-            self._stopping.set()
-        else:
-            self._stop_requested_at = current_time()
-            self._cut_offs_before = count_cut_offs(self.world)
-        self._log_stop_request(signal_name, is_repeated=is_repeated)
-        self._interface.request_shutdown()
+        self._log_stop_request(signal_name)
+        self._request_shutdown()
+
+    def stop_now(self, signal_name: str = '') -> None:
+        """End the node without waiting for calls that run.
+
+        Calls that have not run are refused, and answers that are ready are
+        sent.
+
+        :param signal_name: name of the signal that requests it, if any.
+        """
+        self._log_stop_request(signal_name, is_immediate=True)
+        self._request_shutdown()
+        self._ticker.deliver(DrainEndRequested())
+        self._ticker.run()
+        self._interface.shorten_stop()
+        self._stopping.set()
 
     async def _start(self, loop: asyncio.AbstractEventLoop) -> None:
         self._peer_link.start(loop)
@@ -216,11 +234,21 @@
     def _handle_drained(self, row: NodeDrained) -> None:
         self._stopping.set()
 
-    def _log_stop_request(self, signal_name: str, *, is_repeated: bool) -> None:
+    def _request_shutdown(self) -> None:
+        if self._stop_requested_at is not None:
+            return
+        self._stop_requested_at = current_time()
+        self._cut_offs_before = count_cut_offs(self.world)
+        self._interface.request_shutdown()
+
+    def _log_stop_request(
+        self, signal_name: str, *, is_immediate: bool = False
+    ) -> None:
         line = {
             'node': self.world.identity.node_id,
             'signal': signal_name,
-            'is_repeated': is_repeated,
+            'is_repeated': self._stop_requested_at is not None,
+            'is_immediate': is_immediate,
             'calls': len(self.world.calls),
             'executions': count_open_executions(self.world),
         }
--- a/src/figlane/entities/node_drain.py
+++ b/src/figlane/entities/node_drain.py
@@ -53,6 +53,11 @@
     accepts_root_calls: bool = False
 
 
+@dataclass(slots=True)
+class DrainEndRequested:
+    """Request to end the drain of a node that stops without further wait."""
+
+
 @dataclass(slots=True)
 class NodeDraining:
     """Notifies the adapters that callers should open no new connections."""
--- a/src/figlane/node.py
+++ b/src/figlane/node.py
@@ -99,7 +99,7 @@
 async def _serve(settings: NodeSettings) -> None:
     loop = asyncio.get_running_loop()
     node = make_node(settings, loop)
-    handle_signals(loop, node.stop)
+    handle_signals(loop, node)
     await node.run()
 
 
--- a/src/figlane/platform/interface.py
+++ b/src/figlane/platform/interface.py
@@ -71,7 +71,7 @@
         self._settings = settings
         self._loop = loop
         self._deliver = deliver
-        self._stops_by: float | None = None
+        self._stops_by: float = 0
         self._store = ObjectStore(loop, settings.store)
         self._feed = StoreFeed(self._store, loop, deliver)
         self._backend_client = BackendClient(loop, deliver, PlatformDialect())
@@ -135,10 +135,8 @@
 
         Callers that read slowly are waited for within the grace period.
         """
-        stops_by = self._stops_by or 0
-        await self._entry_server.stop(
-            max(_LAST_ANSWERS_SECONDS, stops_by - self._loop.time())
-        )
+        seconds_left = self._stops_by - self._loop.time()
+        await self._entry_server.stop(max(_LAST_ANSWERS_SECONDS, seconds_left))
         for server, _ in self._servers:
             server.close()
         self._metrics_server.close()
@@ -151,14 +149,9 @@
         self._store.close()
 
     def request_shutdown(self) -> None:
-        """Request a graceful shutdown within the grace period.
-
-        A second request leaves only the time for the last answers.
-        """
-        now = self._loop.time()
+        """Request a graceful shutdown within the grace period."""
         seconds = max(0, self._settings.grace_seconds - _EXIT_SECONDS)
-        is_repeated = self._stops_by is not None
-        self._stops_by = now if is_repeated else now + seconds
+        self._stops_by = self._loop.time() + seconds
         self._deliver(
             DrainRequested(
                 max(0, seconds - _LAST_ANSWERS_SECONDS),
@@ -167,6 +160,11 @@
             ),
         )
 
+    def shorten_stop(self) -> None:
+        """Leave only the time for the last answers."""
+        self._stops_by = self._loop.time()
+        self._entry_server.shorten_stop(_LAST_ANSWERS_SECONDS)
+
     def _begin_closing(self, row: NodeDraining) -> None:
         self._entry_server.start_closing()
 
--- a/src/figlane/platform/node.py
+++ b/src/figlane/platform/node.py
@@ -168,7 +168,7 @@
     loop = asyncio.get_running_loop()
     stream.attach_loop(loop)
     node = create_platform_node(settings, loop, stream.allow)
-    handle_signals(loop, node.stop)
+    handle_signals(loop, node)
     await node.run()
 
 
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -8,6 +8,7 @@
 from figlane.entities.member import MemberPhase
 from figlane.entities.node_drain import (
     DRAIN_ID,
+    DrainEndRequested,
     DrainPhase,
     DrainRequested,
     NodeDrain,
@@ -80,6 +81,23 @@
     world.outbox.append(NodeDraining())
 
 
+@inbox_handlers.register(DrainEndRequested)
+def handle_drain_end_request(
+    world: World, row: DrainEndRequested, now: float
+) -> None:
+    """End the drain of a node that stops as if its time limit had passed.
+
+    :param world: the tables.
+    :param row: the request.
+    :param now: the present time in seconds.
+    """
+    drain = world.node_drains.get(DRAIN_ID)
+    if drain is None or not drain.stops_process:
+        return
+    drain.ends_by = min(drain.ends_by, now)
+    world.node_drains.schedule(drain, now)
+
+
 def _announce_leaving(world: World) -> None:
     # Only nodes that exchange messages with this one have to know at once. The
     # others learn of it by gossip, or from the refusal of their first call.
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -134,14 +134,12 @@
         return await asyncio.wait_for(waiter, 8)
 
     async def close(self) -> None:
-        """Stop all nodes, backend servers and the store."""
+        """End all nodes, backend servers and the store at once."""
         for task in self.announcement_tasks:
             task.cancel()
         for vm in self.vms:
             vm.clients.close()
-            # The second call skips the planned stop and ends the node at once.
-            vm.node.stop()
-            vm.node.stop()
+            vm.node.stop_now()
         tasks = [ended.task for ended in self.vms]
         await asyncio.gather(*tasks, return_exceptions=True)
         for stopped in self.vms:
--- a/tests/adapters/test_http_callback_server.py
+++ b/tests/adapters/test_http_callback_server.py
@@ -188,6 +188,19 @@
             self.assertGreater(row.seconds, 0.09)
             self.assertLess(row.seconds, 1)
 
+    async def test_shortened_stop(self) -> None:
+        """A stop that waits for an open request can be shortened."""
+        self.delay = 5
+        self.writer.write(_NAMED_A)
+        await _wait()
+        stopping = self._stop(5)
+        await _wait()
+        self.server.shorten_stop(0.05)
+        await asyncio.wait_for(stopping, 1)
+        self.assertEqual(
+            self._reported(), [(b'a', CutOffReason.PROCESS_ENDS, False)]
+        )
+
     async def test_cut_off_before_the_body(self) -> None:
         """A request of which only the headers were read is reported."""
         head = _NAMED_A[:-2] + b'Content-Length: 2\r\n\r\n'
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -50,6 +50,18 @@
         await self._stop()
         self.assertEqual(self.cut_offs, [])
 
+    async def test_open_at_an_immediate_end(self) -> None:
+        """A request that a server does not wait for is reported and closed."""
+        await self._send(_GET)
+        self.server.stop_now()
+        await self.task
+        self.assertEqual(await self.reader.read(), b'')
+        self.assertEqual(
+            self._reported(),
+            [(self.call_ids[0], CutOffReason.PROCESS_ENDS, False)],
+        )
+        self.assertGreater(self.cut_offs[0].seconds, 0.09)
+
     async def test_half_received_headers(self) -> None:
         """A request of which a stop finds a part is reported."""
         await self._send(_GET[:-2])
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -148,12 +148,12 @@
         lines = await self._interrupt(process)
         self.assertEqual(await queued, 503)
         self.assertNotEqual(await running, 200)
-        cut_off = [line for line in lines if line['event'] == 'request_cut_off']
-        self.assertEqual([line['request'] for line in cut_off], ['open'])
-        last = lines[-1]
-        self.assertEqual(last['event'], 'node_stopped')
-        self.assertEqual(last['requests_cut_off'], 1)
-        self.assertLess(last['seconds'], _WORK_SECONDS - _SIGNAL_SECONDS)
+        line_by_event = {line['event']: line for line in lines}
+        self.assertTrue(line_by_event['node_stopping']['is_immediate'])
+        self.assertEqual(line_by_event['request_cut_off']['request'], 'open')
+        stopped = line_by_event['node_stopped']
+        self.assertEqual(stopped['requests_cut_off'], 1)
+        self.assertLess(stopped['seconds'], _WORK_SECONDS - _SIGNAL_SECONDS)
 
     async def test_stop_while_starting(self) -> None:
         """Guards against a SIGTERM that gets lost before the sockets open."""
--- a/tests/systems/membership/test_leaving.py
+++ b/tests/systems/membership/test_leaving.py
@@ -8,7 +8,11 @@
 from figlane.entities.call import Call, CallPhase
 from figlane.entities.http import Request
 from figlane.entities.inbox import NodeStarted
-from figlane.entities.node_drain import DrainRequested, NodeDrained
+from figlane.entities.node_drain import (
+    DrainEndRequested,
+    DrainRequested,
+    NodeDrained,
+)
 from figlane.entities.outbox import AnswerCaller
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind, ExecutionStatus
@@ -60,6 +64,20 @@
         self._request_drain(stops_process=True)
         self.assertEqual(_count_ends(self._run_until_drained()), 1)
 
+    def test_end_of_the_drain_on_request(self) -> None:
+        """A drain that is ended on request refuses the calls that wait."""
+        call = Call('waiting', 's', Request('GET', '/', ()), self.now)
+        call.phase = CallPhase.WAITING
+        self.world.calls.insert(call)
+        self.world.outbox.clear()
+        self.world.inbox.append(DrainEndRequested())
+        run_tick(self.world, self.now + 0.1)
+        self.assertEqual(_count_ends(self.world.outbox), 1)
+        answers = [
+            row for row in self.world.outbox if isinstance(row, AnswerCaller)
+        ]
+        self.assertIs(answers[0].outcome.kind, ErrorKind.DRAINING)
+
     def _request_drain(self, *, stops_process: bool) -> None:
         self.world.inbox.append(
             DrainRequested(_DRAIN_SECONDS, stops_process=stops_process)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,12 +1,17 @@
-"""Signals to processes of ``figlane-node``."""
+"""Tests of signals, and of signals to processes of ``figlane-node``."""
 
 from __future__ import annotations
 
+import asyncio
+import json
+import os
 import signal
 import time
 import unittest
 from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
 
+from figlane.signals import handle_signals
 from standins.fleet import Fleet, Reply, call, wait_until
 
 _ROUTES = (
@@ -22,6 +27,55 @@
 _TIMEOUT_SECONDS = 10
 
 
+class HandlerTest(unittest.IsolatedAsyncioTestCase):
+    """Signals to a process that records what they request."""
+
+    async def asyncSetUp(self) -> None:
+        """Handle the signals."""
+        self.requests: list[tuple[str, str]] = []
+        loop = asyncio.get_running_loop()
+        handle_signals(loop, self)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(loop.remove_signal_handler, number)
+
+    def stop(self, signal_name: str) -> None:
+        """Record a request for a graceful shutdown.
+
+        :param signal_name: name of the signal.
+        """
+        self.requests.append(('stop', signal_name))
+
+    def stop_now(self, signal_name: str) -> None:
+        """Record a request to end at once.
+
+        :param signal_name: name of the signal.
+        """
+        self.requests.append(('stop_now', signal_name))
+
+    async def test_only_a_second_interrupt_is_immediate(self) -> None:
+        """Neither SIGTERM nor SIGHUP make an interrupt the second one."""
+        for number in (
+            signal.SIGTERM,
+            signal.SIGTERM,
+            signal.SIGINT,
+            signal.SIGHUP,
+            signal.SIGTERM,
+            signal.SIGINT,
+        ):
+            os.kill(os.getpid(), number)
+            await asyncio.sleep(0.02)
+        self.assertEqual(
+            self.requests,
+            [
+                ('stop', 'SIGTERM'),
+                ('stop', 'SIGTERM'),
+                ('stop', 'SIGINT'),
+                ('stop', 'SIGTERM'),
+                ('stop_now', 'SIGINT'),
+            ],
+        )
+
+
 class SignalTest(unittest.TestCase):
     """An entry node, and an exit node that gets the signals."""
 
@@ -58,6 +112,34 @@
         self.assertEqual(running.result().status, 200)
         self.assertEqual(self.exit.popen.wait(_TIMEOUT_SECONDS), 0)
 
+    def test_second_interrupt(self) -> None:
+        """A second SIGINT ends the process, and cuts off what runs.
+
+        The caller of the exit node sees its connection closed.
+        """
+        running = self._open_call('exit')
+        for _ in range(2):
+            self.exit.popen.send_signal(signal.SIGINT)
+            time.sleep(0.1)
+        self.assertEqual(self.exit.popen.wait(_TIMEOUT_SECONDS), 0)
+        self.assertIsInstance(running.exception(), OSError)
+        line_by_event = self._logged_lines()
+        cut_off = line_by_event['request_cut_off']
+        self.assertEqual(cut_off['reason'], 'process-ends')
+        self.assertEqual(cut_off['call'], 'sent')
+        stopped = line_by_event['node_stopped']
+        self.assertEqual(stopped['requests_cut_off'], 1)
+        self.assertLess(stopped['seconds'], _CALL_MS / 1000)
+
+    def _logged_lines(self) -> dict[str, dict[str, Any]]:
+        """Read the log of the exit node.
+
+        :return: the last line of each event.
+        """
+        text = (self.fleet.folder / 'exit.log').read_text(encoding='utf-8')
+        lines = map(json.loads, text.splitlines())
+        return {line['event']: line for line in lines}
+
     def _open_call(self, node_id: str) -> Future[Reply]:
         pool = self.enterContext(ThreadPoolExecutor(1))
         running = pool.submit(self._call, node_id, _CALL_MS)
