--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -16,6 +16,8 @@
 from tests.platform.test_node import FleetTestCase
 
 _GRACE_SECONDS = 4.0
+# Shorter than the time limit of the routes.
+_SHORT_GRACE_SECONDS = 1.5
 # Part of the grace period after the drain.
 _RESERVE_SECONDS = 0.6
 _CALLERS = 8
@@ -239,3 +241,39 @@
             received += len(part)
         writer.close()
         return received
+
+
+class ExitStopTest(FleetTestCase):
+    """A node stops whose backend server works past the grace period."""
+
+    grace_seconds = _SHORT_GRACE_SECONDS
+
+    async def test_unanswered_run_is_reported(self) -> None:
+        """Guards against callers that wait for an exit node that is gone."""
+        for vm in self.shop_vms:
+            vm.backend.faults.hangs = True
+        sent_at = time.monotonic()
+        answer = await self._call_and_stop('/book/a', 'POST')
+        self.assertEqual(answer.status, _TIME_LIMIT_REACHED)
+        self.assertLess(time.monotonic() - sent_at, _SHORT_GRACE_SECONDS)
+
+    async def test_idempotent_run_is_repeated(self) -> None:
+        """An idempotent request that outlasts its exit node runs elsewhere."""
+        for vm in self.shop_vms:
+            vm.backend.faults.hangs = True
+        answer = await self._call_and_stop('/read/a', 'GET')
+        self.assertEqual(answer.status, _OK)
+        self.assertEqual(self.execution_count(), 2)
+
+    async def _call_and_stop(self, path: str, method: str) -> Answer:
+        """Stop the node whose server runs a request; the other ones answer."""
+        call = asyncio.ensure_future(
+            self.fleet.call(self.caller_vm, path, method)
+        )
+        await self.wait_until(self.running_count)
+        for vm in self.shop_vms:
+            if vm.backend.request_log.running:
+                vm.node.stop()
+            else:
+                vm.backend.faults.hangs = False
+        return await call
