--- /dev/null
+++ b/tools/soaking/__init__.py
@@ -0,0 +1,3 @@
+"""Runs of real node processes that are disturbed under load."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/soaking/answer_rules.py
@@ -0,0 +1,121 @@
+"""Rules about what runs and what callers get as answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from standins.platform_site import CLASS_BY_NAME
+from tools.soaking.entities import (
+    Answer,
+    Bounds,
+    History,
+    RequestEnd,
+    Run,
+    RunEnd,
+    SentRequest,
+)
+from tools.soaking.rules import Breach, rules
+
+_PROMISES = frozenset((408, 421, 429, 503))
+
+
+@rules.register('TWICE')
+def find_double_runs(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find requests that are not idempotent and have run more than once.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for row in history.requests_by_id.values():
+        count = len(history.runs_of(row.id))
+        if count > 1 and not row.is_safe:
+            text = f'has run {count} times'
+            yield Breach('TWICE', text, row.id, (row.process_id,))
+
+
+@rules.register('REFUSED')
+def find_false_refusals(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find refused requests that are not idempotent and have run.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for row in history.requests_by_id.values():
+        if row.is_safe or row.answer is None:
+            continue
+        if row.answer.status in _PROMISES and history.runs_of(row.id):
+            text = f'{row.answer.status} and has run'
+            yield Breach('REFUSED', text, row.id, (row.process_id,))
+
+
+@rules.register('MIXED')
+def find_mixed_answers(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find answers that are not the server's whole answer to the request.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for row in history.requests_by_id.values():
+        if row.answer is None:
+            continue
+        text = _mixed_text(row, row.answer, history.runs_of(row.id))
+        if text:
+            yield Breach('MIXED', text, row.id, (row.process_id,))
+
+
+@rules.register('UNASKED')
+def find_unasked_runs(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find runs that nobody asked for, or whose content was changed.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for run in history.runs_by_id.values():
+        row = history.requests_by_id.get(run.request_id)
+        if row is None:
+            yield Breach('UNASKED', f'run {run.id}: unknown id', run.request_id)
+        elif row.content != run.content:
+            text = f'run {run.id} of {run.content}, sent was {row.content}'
+            yield Breach('UNASKED', text, row.id, (row.process_id,))
+
+
+@rules.register('ROUTE')
+def find_wrong_services(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find runs at a service to which the route does not lead.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for run in history.runs_by_id.values():
+        row = history.requests_by_id.get(run.request_id)
+        if row and CLASS_BY_NAME[row.route].service != run.service:
+            text = f'run {run.id} at {run.service}'
+            yield Breach('ROUTE', text, row.id, (row.process_id,))
+
+
+def _mixed_text(row: SentRequest, answer: Answer, runs: list[Run]) -> str:
+    if row.end is RequestEnd.GARBLED:
+        return 'bytes that are no response'
+    if answer.extra_bytes:
+        return 'bytes after the response'
+    if answer.request_id not in {'', row.id}:
+        return f'answer to {answer.request_id}'
+    if answer.sealed_id:
+        return _seal_text(row, answer, runs)
+    return 'success without a seal' if answer.is_success else ''
+
+
+def _seal_text(row: SentRequest, answer: Answer, runs: list[Run]) -> str:
+    if answer.sealed_id != row.id:
+        return f'seal of {answer.sealed_id}'
+    if answer.sealed_status != answer.status:
+        return f'{answer.status} with the seal of {answer.sealed_status}'
+    if not answer.is_body_sealed:
+        return 'another body than the sealed one'
+    statuses = {run.status for run in runs if run.end is RunEnd.ANSWERED}
+    return '' if answer.status in statuses else 'a seal without a run'
--- /dev/null
+++ b/tools/soaking/disturbances.py
@@ -0,0 +1,256 @@
+"""Disturbances of a run; each draws its steps from the seed."""
+
+from __future__ import annotations
+
+import random
+import signal
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from operator import attrgetter
+
+from figlane.registry import Registry
+
+# Shortest time between two signals that do not come at once.
+_SOON = 0.05
+_FIRST_SECONDS = 1.0
+# Disturbances end early enough that the last grace period ends within the run.
+_LAST_SECONDS = 9.0
+_PAUSE_SECONDS = (0.5, 3.5)
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """Something that is done at a time after the start of the load.
+
+    ``action`` is a key of the actions; ``target`` is a VM or a service,
+    ``number`` a signal or a count, ``factor`` one of the time of work, and
+    ``seconds`` a duration.
+    """
+
+    at: float
+    action: str
+    target: str = ''
+    number: int = 0
+    seconds: float = 0
+    factor: float = 1
+
+
+@dataclass(slots=True)
+class Draw:
+    """State while the steps of a run are drawn.
+
+    ``service_by_vm`` holds the VMs that are in the deployment.
+    """
+
+    source: random.Random
+    service_by_vm: dict[str, str]
+    spare_vms: list[tuple[str, str]] = field(default_factory=list)
+    now: float = 0
+
+    def vm(self) -> str:
+        """Draw a VM.
+
+        :return: its name.
+        """
+        return self.source.choice(sorted(self.service_by_vm))
+
+    def after(self, least: float, most: float) -> float:
+        """Draw a time after the present one.
+
+        :param least: the least distance in seconds.
+        :param most: the largest distance.
+        :return: the time.
+        """
+        return self.now + self.source.uniform(least, most)
+
+    def signal(self, at: float, vm: str, number: int) -> Step:
+        """Make the step that sends a signal.
+
+        :param at: when it is sent.
+        :param vm: the node's VM.
+        :param number: the signal's number.
+        :return: the step.
+        """
+        return Step(at, 'signal', vm, number)
+
+
+DrawSteps = Callable[[Draw], list[Step]]
+disturbances: Registry[DrawSteps] = Registry('disturbance')
+
+
+def draw_steps(draw: Draw, names: list[str], seconds: float) -> list[Step]:
+    """Draw disturbances in series, which may overlap.
+
+    Each name is drawn once before any is drawn again.
+
+    :param draw: the state, with a source that was seeded.
+    :param names: the disturbances to draw from.
+    :param seconds: length of the load.
+    :return: the steps in the order of their times.
+    """
+    steps: list[Step] = []
+    left: list[str] = []
+    draw.now = _FIRST_SECONDS
+    while draw.now < seconds - _LAST_SECONDS:
+        if not left:
+            left = draw.source.sample(names, len(names))
+        steps += disturbances.find(left.pop())(draw)
+        draw.now += draw.source.uniform(*_PAUSE_SECONDS)
+    return sorted(steps, key=attrgetter('at'))
+
+
+@disturbances.register('stop')
+def draw_stop(draw: Draw) -> list[Step]:
+    """Stop a node, which is started again.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    return [draw.signal(draw.now, draw.vm(), signal.SIGTERM)]
+
+
+@disturbances.register('repeated-stop')
+def draw_repeated_stop(draw: Draw) -> list[Step]:
+    """Stop a node with two or three signals.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    vm = draw.vm()
+    count = draw.source.randint(1, 2)
+    repeats = [draw.after(_SOON, 4) for _ in range(count)]
+    return [draw.signal(at, vm, signal.SIGTERM) for at in (draw.now, *repeats)]
+
+
+@disturbances.register('overlapping-stops')
+def draw_overlapping_stops(draw: Draw) -> list[Step]:
+    """Stop several nodes whose grace periods overlap.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    names = sorted(draw.service_by_vm)
+    count = draw.source.randint(2, max(2, len(names) // 3))
+    return [
+        draw.signal(draw.after(0, 3), vm, signal.SIGTERM)
+        for vm in draw.source.sample(names, count)
+    ]
+
+
+@disturbances.register('stop-while-starting')
+def draw_stop_while_starting(draw: Draw) -> list[Step]:
+    """Stop a node, and again while its next process is starting.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    vm = draw.vm()
+    seconds = draw.source.uniform(_SOON, 4)
+    return [
+        Step(draw.now, 'signal-next', vm, signal.SIGTERM, seconds),
+        draw.signal(draw.now, vm, signal.SIGTERM),
+    ]
+
+
+@disturbances.register('reload')
+def draw_reload(draw: Draw) -> list[Step]:
+    """Send SIGHUP before and during a stop.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    vm = draw.vm()
+    stop_at = draw.after(_SOON, 2)
+    return [
+        draw.signal(draw.now, vm, signal.SIGHUP),
+        draw.signal(stop_at, vm, signal.SIGTERM),
+        draw.signal(stop_at + draw.source.uniform(_SOON, 4), vm, signal.SIGHUP),
+    ]
+
+
+@disturbances.register('removal')
+def draw_removal(draw: Draw) -> list[Step]:
+    """Remove a VM: its backend server leaves, then its node is stopped.
+
+    :param draw: the state of the draw.
+    :return: the steps, none if no service has a VM to spare.
+    """
+    counts = Counter(draw.service_by_vm.values())
+    names = [
+        name
+        for name, service in sorted(draw.service_by_vm.items())
+        if counts[service] > 1
+    ]
+    if not names:
+        return []
+    vm = draw.source.choice(names)
+    draw.service_by_vm.pop(vm)
+    seconds = draw.source.uniform(2, 4)
+    return [Step(draw.now, 'remove', vm, seconds=seconds)]
+
+
+@disturbances.register('addition')
+def draw_addition(draw: Draw) -> list[Step]:
+    """Add a VM with a node and a backend server.
+
+    :param draw: the state of the draw.
+    :return: the steps, none if there is no VM to add.
+    """
+    if not draw.spare_vms:
+        return []
+    vm, service = draw.spare_vms.pop(0)
+    draw.service_by_vm[vm] = service
+    return [Step(draw.now, 'add', vm)]
+
+
+@disturbances.register('slow-servers')
+def draw_slow_servers(draw: Draw) -> list[Step]:
+    """Slow down the servers of a service while nodes stop.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    service = draw.source.choice(sorted(set(draw.service_by_vm.values())))
+    vms = draw.source.sample(sorted(draw.service_by_vm), 2)
+    slow = Step(
+        draw.after(1, 4),
+        'slow',
+        service,
+        seconds=draw.source.uniform(2, 6),
+        factor=draw.source.uniform(2, 6),
+    )
+    stops = [draw.signal(draw.after(0, 2), vm, signal.SIGTERM) for vm in vms]
+    return [slow, *stops]
+
+
+@disturbances.register('freeze')
+def draw_freeze(draw: Draw) -> list[Step]:
+    """Suspend a node for up to 2 s.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    vm = draw.vm()
+    return [
+        draw.signal(draw.now, vm, signal.SIGSTOP),
+        draw.signal(draw.after(0.5, 2), vm, signal.SIGCONT),
+    ]
+
+
+@disturbances.register('busy')
+def draw_busy(draw: Draw) -> list[Step]:
+    """Keep processor cores busy while a node stops.
+
+    :param draw: the state of the draw.
+    :return: the steps.
+    """
+    return [
+        Step(
+            draw.now,
+            'busy',
+            number=draw.source.randint(2, 6),
+            seconds=draw.source.uniform(2, 5),
+        ),
+        draw.signal(draw.after(0, 2), draw.vm(), signal.SIGTERM),
+    ]
--- /dev/null
+++ b/tools/soaking/fleet.py
@@ -0,0 +1,290 @@
+"""The VMs of a run, and the actions that disturb them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from figlane.registry import Registry
+from standins.platform_site import SiteVm
+from tools.soaking.callers import MANNERS, Caller
+from tools.soaking.disturbances import Step
+from tools.soaking.entities import Event, History
+from tools.soaking.processes import NodeSupervisor, ProcessPlan
+from tools.soaking.servers import BackendServer, Slowdowns
+
+_BUSY_CODE = """
+import sys, time
+ends_at = time.monotonic() + float(sys.argv[1])
+while time.monotonic() < ends_at:
+    pass
+"""
+_READY_POLL_SECONDS = 0.1
+_LAG_SECONDS = 0.02
+# A new node takes no calls until it is ready.
+_LAST_READY_SECONDS = 30
+
+
+@dataclass(slots=True)
+class FleetVm:
+    """A VM with its node, its backend server and their tasks."""
+
+    node: NodeSupervisor
+    server: BackendServer
+    tasks: list[asyncio.Task[Any]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Load:
+    """Load of the callers: until when, and pause between requests."""
+
+    ends_at: float
+    mean_pause: float
+
+
+class Fleet:
+    """All VMs of a run."""
+
+    def __init__(self, history: History, plan: ProcessPlan, seed: int) -> None:
+        """Create a fleet without VMs.
+
+        :param history: the tables of the run.
+        :param plan: how processes are started.
+        :param seed: seed of the callers and the servers.
+        """
+        self.history = history
+        self.vms_by_name: dict[str, FleetVm] = {}
+        self.spares_by_name: dict[str, SiteVm] = {}
+        self.slowdowns = Slowdowns()
+        self.load: Load | None = None
+        self.plan = plan
+        self._seed = seed
+        self._loop = asyncio.get_running_loop()
+        self._run_ids = itertools.count(1)
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def add(self, vm: SiteVm, first_start: bool) -> None:
+        """Start the node and the backend server of a VM.
+
+        :param vm: the VM.
+        :param first_start: whether the whole deployment starts.
+        """
+        node = NodeSupervisor(self.history, self.plan, vm)
+        source = random.Random(f'{self._seed}-{vm.name}')
+        server = BackendServer(
+            self.history, node, source, self.slowdowns, self._run_ids
+        )
+        added = FleetVm(node, server)
+        self.vms_by_name[vm.name] = added
+        await server.start()
+        added.tasks.append(self._loop.create_task(node.run(first_start)))
+        checks = self._loop.create_task(node.check_readiness())
+        added.tasks.append(checks)
+        if self.load is not None:
+            self.start_callers(added)
+
+    def start_callers(self, vm: FleetVm) -> None:
+        """Start the callers beside a node.
+
+        :param vm: the node's VM.
+        """
+        assert self.load is not None
+        name = vm.node.vm.name
+        for number, manner in enumerate(MANNERS):
+            caller = Caller(
+                self.history,
+                vm.node,
+                self.gets_work,
+                manner,
+                random.Random(f'{self._seed}-{name}-{number}'),
+                f'{name}-{number}',
+            )
+            running = caller.run(self.load.ends_at, self.load.mean_pause)
+            vm.tasks.append(self._loop.create_task(running))
+
+    def start_load(self, load: Load) -> None:
+        """Start the callers beside all nodes.
+
+        :param load: the load.
+        """
+        self.load = load
+        self.history.max_lag = 0
+        for vm in self.vms_by_name.values():
+            self.start_callers(vm)
+
+    async def wait_until_ready(self) -> bool:
+        """Wait until all nodes are ready.
+
+        :return: False if they are not within the limit.
+        """
+        try:
+            async with asyncio.timeout(_LAST_READY_SECONDS):
+                while not all(map(_is_ready, self.vms_by_name.values())):
+                    await asyncio.sleep(_READY_POLL_SECONDS)
+        except TimeoutError:
+            return False
+        return True
+
+    def gets_work(self, vm: SiteVm) -> bool:
+        """Tell whether the callers of a VM get new work.
+
+        :param vm: the VM.
+        :return: True if its node is in, or fewer than half of its failure
+            domain are.
+        """
+        states = [
+            other.node.state
+            for other in self.vms_by_name.values()
+            if other.node.vm.domain == vm.domain
+        ]
+        count_in = sum(state.is_in for state in states)
+        if 2 * count_in < len(states):
+            return True
+        return self.vms_by_name[vm.name].node.state.is_in
+
+    async def measure_lag(self) -> None:
+        """Measure how late the event loop runs its timers."""
+        while True:
+            due = self._loop.time() + _LAG_SECONDS
+            await asyncio.sleep(_LAG_SECONDS)
+            lag = self._loop.time() - due
+            self.history.max_lag = max(self.history.max_lag, lag)
+
+    def start_task(self, running: Coroutine[Any, Any, Any]) -> None:
+        """Run something beside the load until the fleet ends.
+
+        :param running: the coroutine.
+        """
+        self._tasks.add(self._loop.create_task(running))
+
+    async def end(self) -> None:
+        """End all processes, servers and tasks."""
+        vms = self.vms_by_name.values()
+        tasks = [*self._tasks, *itertools.chain(*(vm.tasks for vm in vms))]
+        ends = (vm.node.end() for vm in vms)
+        await asyncio.gather(*ends, return_exceptions=True)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for ended in vms:
+            ended.server.close()
+
+
+Action = Callable[[Fleet, Step], Coroutine[Any, Any, None]]
+actions: Registry[Action] = Registry('action')
+
+
+async def perform_steps(fleet: Fleet, steps: list[Step]) -> None:
+    """Perform the steps at their times, counted from now.
+
+    :param fleet: the VMs.
+    :param steps: the steps in the order of their times.
+    """
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    for step in steps:
+        await asyncio.sleep(max(0, started_at + step.at - loop.time()))
+        fleet.history.events.append(Event(loop.time(), _describe(step)))
+        fleet.start_task(actions.find(step.action)(fleet, step))
+
+
+@actions.register('signal')
+async def send_signal(fleet: Fleet, step: Step) -> None:
+    """Send a signal to a node.
+
+    :param fleet: the VMs.
+    :param step: the step.
+    """
+    fleet.vms_by_name[step.target].node.send_signal(step.number)
+
+
+@actions.register('signal-next')
+async def signal_next_process(fleet: Fleet, step: Step) -> None:
+    """Send a signal to the next process of a node, soon after its start.
+
+    :param fleet: the VMs.
+    :param step: the step.
+    """
+    state = fleet.vms_by_name[step.target].node.state
+    state.signals_after_start.append((step.seconds, step.number))
+
+
+@actions.register('remove')
+async def remove_vm(fleet: Fleet, step: Step) -> None:
+    """Remove a VM: the backend server ends before the node gets SIGTERM.
+
+    :param fleet: the VMs.
+    :param step: the step.
+    """
+    vm = fleet.vms_by_name[step.target]
+    with contextlib.suppress(TimeoutError):
+        await vm.server.leave(step.seconds)
+    vm.node.state.is_wanted = False
+    vm.node.send_signal(signal.SIGTERM)
+
+
+@actions.register('add')
+async def add_vm(fleet: Fleet, step: Step) -> None:
+    """Add a VM.
+
+    :param fleet: the VMs.
+    :param step: the step.
+    """
+    await fleet.add(fleet.spares_by_name[step.target], first_start=False)
+
+
+@actions.register('slow')
+async def slow_servers(fleet: Fleet, step: Step) -> None:
+    """Slow down the backend servers of a service for some seconds.
+
+    :param fleet: the VMs.
+    :param step: the step.
+    """
+    factors = fleet.slowdowns.factor_by_service
+    factors[step.target] = step.factor
+    await asyncio.sleep(step.seconds)
+    factors.pop(step.target, None)
+
+
+@actions.register('busy')
+async def keep_busy(fleet: Fleet, step: Step) -> None:
+    """Run processes that compute; they end by themselves.
+
+    :param fleet: the VMs.
+    :param step: the step.
+    """
+    started = [
+        await asyncio.create_subprocess_exec(
+            sys.executable, '-c', _BUSY_CODE, str(step.seconds)
+        )
+        for _ in range(step.number)
+    ]
+    try:
+        for process in started:
+            await process.wait()
+    finally:
+        for left in started:
+            if left.returncode is None:
+                left.kill()
+
+
+def _is_ready(vm: FleetVm) -> bool:
+    return vm.node.state.row is not None and not vm.node.state.misses
+
+
+def _describe(step: Step) -> str:
+    parts = [step.action, step.target]
+    if step.number:
+        parts.append(str(step.number))
+    if step.seconds:
+        parts.append(f'{step.seconds:.2f} s')
+    if step.factor > 1:
+        parts.append(f'x {step.factor:.1f}')
+    return ' '.join(part for part in parts if part)
--- /dev/null
+++ b/tools/soaking/processes.py
@@ -0,0 +1,219 @@
+"""Starts, signals and restarts the node processes of a run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from figlane.settings import split_address
+from standins.platform_site import SiteVm, node_settings
+from tools.soaking.entities import Bounds, History, NodeProcess
+
+_RESTART_SECONDS = 0.5
+_READINESS_SECONDS = 1.0
+_MISSES_UNTIL_OUT = 2
+_INHERITED = ('PATH', 'HOME', 'LANG')
+
+
+@dataclass(slots=True)
+class ProcessPlan:
+    """How node processes are started.
+
+    ``node_root`` is the checkout whose nodes are run, ``folder`` gets the
+    settings and the logs, ``store`` is the address of the object store.
+    """
+
+    node_root: Path
+    folder: Path
+    store: str
+    bounds: Bounds
+
+
+@dataclass(slots=True)
+class NodeState:
+    """Present state of a VM's node.
+
+    ``signals_after_start`` are sent to the next process, each so many seconds
+    after its start. ``misses`` counts readiness checks without a 200 in a row.
+    """
+
+    process: asyncio.subprocess.Process | None = None
+    row: NodeProcess | None = None
+    start_count: int = 0
+    is_wanted: bool = True
+    misses: int = 0
+    signals_after_start: list[tuple[float, int]] = field(default_factory=list)
+
+    @property
+    def is_in(self) -> bool:
+        """Tell whether the platform counts the node as ready.
+
+        :return: False after two misses.
+        """
+        return self.misses < _MISSES_UNTIL_OUT
+
+
+class NodeSupervisor:
+    """Keeps the node process of one VM running, as the platform does."""
+
+    def __init__(self, history: History, plan: ProcessPlan, vm: SiteVm) -> None:
+        """Create a supervisor without a process.
+
+        :param history: the tables of the run.
+        :param plan: how processes are started.
+        :param vm: the VM.
+        """
+        self.state = NodeState()
+        self.vm = vm
+        self._history = history
+        self._plan = plan
+        self._loop = asyncio.get_running_loop()
+        self._timers: set[asyncio.Handle] = set()
+
+    async def run(self, first_start: bool) -> None:
+        """Start the process, and again after each end while it is wanted.
+
+        :param first_start: whether the whole deployment starts.
+        """
+        state = self.state
+        while state.is_wanted:
+            process = await self._start(first_start)
+            first_start = False
+            row = state.row
+            assert row is not None
+            row.exit_code = await process.wait()
+            row.ended_at = self._loop.time()
+            await asyncio.sleep(_RESTART_SECONDS)
+
+    async def check_readiness(self) -> None:
+        """Ask once a second whether the node is ready."""
+        while True:
+            is_ready = await _is_ready(self.vm.address('ready'))
+            self.state.misses = 0 if is_ready else self.state.misses + 1
+            await asyncio.sleep(_READINESS_SECONDS)
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process if it runs.
+
+        After the first SIGTERM, a process that has not ended by the end of its
+        grace period gets SIGKILL.
+
+        :param number: the signal's number.
+        """
+        row = self.state.row
+        process = self.state.process
+        if row is None or process is None or has_ended(row):
+            return
+        is_first = not self._history.signal_times(row.id, signal.SIGTERM)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(number)
+        self._history.add_signal(row.id, number, self._loop.time())
+        if number == signal.SIGTERM and is_first:
+            self._call_later(self._plan.bounds.grace, self._kill, row.id)
+
+    async def end(self) -> None:
+        """End the process at once and start no other one."""
+        self.state.is_wanted = False
+        for timer in self._timers:
+            timer.cancel()
+        process = self.state.process
+        if process is None or process.returncode is not None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+    async def _start(self, first_start: bool) -> asyncio.subprocess.Process:
+        state = self.state
+        state.start_count += 1
+        name = self.vm.name
+        log_path = self._plan.folder / f'{name}.{state.start_count}.log'
+        environment = self._environment(first_start)
+        with log_path.open('wb') as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(self._plan.node_root / 'deploy' / 'node.py'),
+                cwd=self._plan.node_root,
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        state.process = process
+        state.row = NodeProcess(
+            len(self._history.processes_by_id) + 1,
+            name,
+            process.pid,
+            str(log_path),
+            self._loop.time(),
+        )
+        self._history.processes_by_id[state.row.id] = state.row
+        for seconds, number in state.signals_after_start:
+            self._call_later(seconds, self._signal_row, state.row.id, number)
+        state.signals_after_start.clear()
+        return process
+
+    def _environment(self, first_start: bool) -> dict[str, str]:
+        plan = self._plan
+        settings = plan.folder / f'{self.vm.name}.yaml'
+        tables = node_settings(
+            self.vm, plan.store, first_start, plan.bounds.grace
+        )
+        settings.write_text(json.dumps(tables), encoding='utf-8')
+        environment = {
+            key: os.environ[key] for key in _INHERITED if key in os.environ
+        }
+        environment['FIGLANE_CONFIG'] = str(settings)
+        return environment
+
+    def _signal_row(self, process_id: int, number: int) -> None:
+        if self.state.row is not None and self.state.row.id == process_id:
+            self.send_signal(number)
+
+    def _kill(self, process_id: int) -> None:
+        row = self._history.processes_by_id[process_id]
+        if not has_ended(row):
+            self._signal_row(process_id, signal.SIGKILL)
+
+    def _call_later(self, seconds: float, callback: object, *args: int) -> None:
+        self._timers.add(self._loop.call_later(seconds, callback, *args))
+
+
+def has_ended(row: NodeProcess) -> bool:
+    """Tell whether a process has ended, also if nobody has waited for it.
+
+    :param row: the process.
+    :return: True if its end is known to the kernel.
+    """
+    if row.exit_code is not None:
+        return True
+    try:
+        ended = os.waitid(
+            os.P_PID, row.pid, os.WEXITED | os.WNOHANG | os.WNOWAIT
+        )
+    except ChildProcessError:
+        return True
+    return ended is not None
+
+
+async def _is_ready(address: str) -> bool:
+    try:
+        async with asyncio.timeout(_READINESS_SECONDS):
+            reader, writer = await asyncio.open_connection(
+                *split_address(address)
+            )
+            writer.write(
+                b'GET /readiness HTTP/1.1\r\nhost: x\r\n'
+                b'connection: close\r\n\r\n'
+            )
+            line = await reader.readline()
+            writer.close()
+    except (OSError, TimeoutError):
+        return False
+    return b' 200 ' in line
--- /dev/null
+++ b/tools/soaking/stop_rules.py
@@ -0,0 +1,157 @@
+"""Rules about requests that are cut off, and about the ends of processes."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Iterator
+
+from tools.soaking.entities import (
+    Bounds,
+    History,
+    RequestEnd,
+    Run,
+    RunEnd,
+    SentRequest,
+)
+from tools.soaking.excuses import (
+    is_excused,
+    is_frozen,
+    planned_work_at,
+    stop_at,
+)
+from tools.soaking.rules import Breach, rules
+
+
+@rules.register('LOST')
+def find_lost(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find requests whose connection ended without a complete answer.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for row in history.requests_by_id.values():
+        if not _is_cut_off(history, bounds, row):
+            continue
+        began_at = planned_work_at(history, bounds, row)
+        text = 'closed by a node that keeps running'
+        if began_at is not None:
+            after = row.ended_at - began_at
+            text = f'closed {after:.2f} s after the first SIGTERM or SIGHUP'
+        yield Breach('LOST', text, row.id, (row.process_id,))
+
+
+@rules.register('LOST by own answer')
+def find_replaced_answers(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find answers of a node after a SIGTERM while a server is at work.
+
+    The SIGTERM may be that of the node that took the request or of the node
+    beside the server.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for row in history.requests_by_id.values():
+        answer = row.answer
+        if answer is None or answer.sealed_id or answer.is_success:
+            continue
+        for run in _replaced_runs(history, bounds, row):
+            ids = _processes_of(history, row, run)
+            text = f'{answer.status} in place of run {run.id}'
+            yield Breach('LOST', text, row.id, ids)
+
+
+@rules.register('ENDED')
+def find_failed_processes(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find processes that ended by themselves or with a failure.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for process in history.processes_by_id.values():
+        if process.exit_code is None:
+            continue
+        allowed = {
+            -number
+            for number in (signal.SIGTERM, signal.SIGKILL)
+            if history.signal_times(process.id, number)
+        }
+        if history.signal_times(process.id, signal.SIGTERM):
+            allowed.add(0)
+        if process.exit_code not in allowed:
+            text = f'exit code {process.exit_code}'
+            yield Breach('ENDED', text, process_ids=(process.id,))
+
+
+@rules.register('GRACE')
+def find_late_ends(history: History, bounds: Bounds) -> Iterator[Breach]:
+    """Find processes that still run at the end of their grace period.
+
+    :param history: the tables of the run.
+    :param bounds: the bounds of the rules.
+    :yield: the breaches.
+    """
+    for process in history.processes_by_id.values():
+        stops = history.signal_times(process.id, signal.SIGTERM)
+        if not stops or process.ended_at <= stops[0] + bounds.grace:
+            continue
+        is_killed = any(history.signal_times(process.id, signal.SIGKILL))
+        end = stops[0] + bounds.grace
+        if is_killed and not is_frozen(history, process.id, stops[0], end):
+            text = f'still there {bounds.grace} s after SIGTERM'
+            yield Breach('GRACE', text, process_ids=(process.id,))
+
+
+def _is_cut_off(history: History, bounds: Bounds, row: SentRequest) -> bool:
+    if row.end not in {RequestEnd.CLOSED, RequestEnd.GARBLED}:
+        return False
+    is_planned = planned_work_at(history, bounds, row) is not None
+    is_slow = row.ended_at - row.sent_at > bounds.loss_slack
+    if not history.runs_of(row.id) and not (is_planned and is_slow):
+        return False
+    stopped_at = stop_at(history, bounds, row.process_id, row.ended_at)
+    return not is_excused(history, bounds, row, stopped_at)
+
+
+def _replaced_runs(
+    history: History, bounds: Bounds, row: SentRequest
+) -> list[Run]:
+    if row.end is not RequestEnd.ANSWERED:
+        return []
+    return [
+        run
+        for run in history.runs_of(row.id)
+        if _is_broken_off(run, row.ended_at)
+        and _is_planned(history, bounds, row, run)
+    ]
+
+
+def _is_planned(
+    history: History, bounds: Bounds, row: SentRequest, run: Run
+) -> bool:
+    stops = [
+        stop_at(history, bounds, process_id, row.ended_at)
+        for process_id in _processes_of(history, row, run)
+    ]
+    began = [at for at in stops if at is not None]
+    return bool(began) and not is_excused(history, bounds, row, min(began))
+
+
+def _is_broken_off(run: Run, answered_at: float) -> bool:
+    if run.started_at > answered_at:
+        return False
+    return run.end is RunEnd.CLOSED or run.ended_at > answered_at
+
+
+def _processes_of(
+    history: History, row: SentRequest, run: Run
+) -> tuple[int, ...]:
+    beside = [
+        process.id
+        for process in history.processes_by_id.values()
+        if process.vm == run.vm
+        and process.started_at <= run.started_at < process.ended_at
+    ]
+    return (row.process_id, *beside)
