End all processes of an interrupted soak, and send more to stopping nodes

Callers that cling to open connections send five times as often while their node stops, since few requests were open at the end of a drain.

--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -33,6 +33,8 @@
 _ATTEMPTS = 2
 _RETRY_AFTER_SHARE = 3
 _RECONNECT_SECONDS = 0.2
+# How much more often clinging callers send while their node stops.
+_STOP_PAUSE_DIVISOR = 5
 _OUT_POLL_SECONDS = 0.1
 
 
@@ -40,7 +42,8 @@
 class Manner:
     """How a caller uses connections.
 
-    ``clings``: it goes on sending on an open connection to a node that is out.
+    ``clings``: it goes on sending on an open connection to a node that is out,
+    and sends more often while the node stops.
     """
 
     keeps_connections: bool = True
@@ -97,7 +100,10 @@
         :param mean_pause: mean time between an answer and the next request.
         """
         while self._loop.time() < ends_at:
-            await asyncio.sleep(self._source.expovariate(1 / mean_pause))
+            pause = self._source.expovariate(1 / mean_pause)
+            if self._manner.clings and self._node.state.is_stopping:
+                pause /= _STOP_PAUSE_DIVISOR
+            await asyncio.sleep(pause)
             while not self._may_send() and self._loop.time() < ends_at:
                 await asyncio.sleep(_OUT_POLL_SECONDS)
             await self._request(self._draw_class())
--- a/tools/soaking/fleet.py
+++ b/tools/soaking/fleet.py
@@ -167,9 +167,8 @@
     async def end(self) -> None:
         """End all processes, servers and tasks."""
         vms = self.vms_by_name.values()
+        await asyncio.gather(*(vm.node.end() for vm in vms))
         tasks = [*self._tasks, *itertools.chain(*(vm.tasks for vm in vms))]
-        ends = (vm.node.end() for vm in vms)
-        await asyncio.gather(*ends, return_exceptions=True)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -273,6 +272,7 @@
         for left in started:
             if left.returncode is None:
                 left.kill()
+                await left.wait()
 
 
 def _is_ready(vm: FleetVm) -> bool:
--- a/tools/soaking/main.py
+++ b/tools/soaking/main.py
@@ -85,8 +85,14 @@
         arguments.node_root.resolve(),
         arguments.keep,
     )
-    codes = [_run_seed(seed, options) for seed in arguments.seeds]
-    return max(codes)
+    code = _EXIT_OK
+    try:
+        for seed in arguments.seeds:
+            code = max(code, _run_seed(seed, options))
+    except asyncio.CancelledError:
+        _print('interrupted')
+        return _EXIT_NOT_RUN
+    return code
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -133,7 +139,7 @@
     code = _EXIT_NOT_RUN
     try:
         code = uvloop.run(_bounded_run(seed, options, folder))
-    except (NotRun, TimeoutError, asyncio.CancelledError) as error:
+    except (NotRun, TimeoutError) as error:
         _print(f'seed {seed}: could not run: {type(error).__name__} {error}')
     if code == _EXIT_OK and not options.keep:
         shutil.rmtree(folder)
@@ -147,7 +153,7 @@
     assert task is not None
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, task.cancel)
+        loop.add_signal_handler(number, _cancel_once, task)
     limit = options.seconds + _START_LIMIT_SECONDS + _LAST_REQUESTS_SECONDS
     async with asyncio.timeout(limit):
         with contextlib.closing(_lock_network()) as lock:
@@ -155,6 +161,12 @@
             return await _run(seed, options, folder, network)
 
 
+def _cancel_once(task: asyncio.Task[int]) -> None:
+    # A second signal must not interrupt the end of the processes.
+    if not task.cancelling():
+        task.cancel()
+
+
 async def _run(seed: int, options: Options, folder: Path, network: str) -> int:
     loop = asyncio.get_running_loop()
     bounds = Bounds()
--- a/tools/soaking/processes.py
+++ b/tools/soaking/processes.py
@@ -16,6 +16,7 @@
 from tools.soaking.entities import Bounds, History, NodeProcess
 
 _RESTART_SECONDS = 0.5
+_START_POLL_SECONDS = 0.01
 _READINESS_SECONDS = 1.0
 _MISSES_UNTIL_OUT = 2
 _INHERITED = ('PATH', 'HOME', 'LANG')
@@ -39,6 +40,7 @@
 class NodeState:
     """Present state of a VM's node.
 
+    ``is_stopping`` is set from the first SIGTERM until the next start.
     ``signals_after_start`` are sent to the next process, each so many seconds
     after its start. ``misses`` counts readiness checks without a 200 in a row.
     """
@@ -47,6 +49,8 @@
     row: NodeProcess | None = None
     start_count: int = 0
     is_wanted: bool = True
+    is_stopping: bool = False
+    is_starting: bool = False
     misses: int = 0
     signals_after_start: list[tuple[float, int]] = field(default_factory=list)
 
@@ -83,7 +87,9 @@
         """
         state = self.state
         while state.is_wanted:
+            state.is_starting = True
             process = await self._start(first_start)
+            state.is_starting = False
             first_start = False
             row = state.row
             assert row is not None
@@ -115,19 +121,23 @@
             process.send_signal(number)
         self._history.add_signal(row.id, number, self._loop.time())
         if number == signal.SIGTERM and is_first:
+            self.state.is_stopping = True
             self._call_later(self._plan.bounds.grace, self._kill, row.id)
 
     async def end(self) -> None:
         """End the process at once and start no other one."""
-        self.state.is_wanted = False
+        state = self.state
+        state.is_wanted = False
         for timer in self._timers:
             timer.cancel()
-        process = self.state.process
-        if process is None or process.returncode is not None:
+        while state.is_starting:
+            await asyncio.sleep(_START_POLL_SECONDS)
+        if state.process is None:
             return
-        with contextlib.suppress(ProcessLookupError):
-            process.kill()
-        await process.wait()
+        if state.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                state.process.kill()
+        await state.process.wait()
 
     async def _start(self, first_start: bool) -> asyncio.subprocess.Process:
         state = self.state
@@ -146,6 +156,7 @@
                 stderr=log,
             )
         state.process = process
+        state.is_stopping = False
         state.row = NodeProcess(
             len(self._history.processes_by_id) + 1,
             name,
