--- a/tools/soaking/fleet.py
+++ b/tools/soaking/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import random
 import signal
@@ -223,8 +222,7 @@
     :param step: the step.
     """
     vm = fleet.vms_by_name[step.target]
-    with contextlib.suppress(TimeoutError):
-        await vm.server.leave(step.seconds)
+    await vm.server.leave(step.seconds)
     vm.node.state.is_wanted = False
     vm.node.send_signal(signal.SIGTERM)
 
--- a/tools/soaking/servers.py
+++ b/tools/soaking/servers.py
@@ -194,9 +194,9 @@
                 break
             await asyncio.sleep(1)
         await asyncio.sleep(drain_seconds)
-        async with asyncio.timeout(_LAST_RUNS_SECONDS):
-            while self._open_by_connection:
-                await asyncio.sleep(_POLL_SECONDS)
+        ends_at = self._loop.time() + _LAST_RUNS_SECONDS
+        while self._open_by_connection and self._loop.time() < ends_at:
+            await asyncio.sleep(_POLL_SECONDS)
         await self._announcer.withdraw_announcement(control)
         self.close()
 
