Count time limits from before a request is written

Times are now read from the clock instead of the event loop's cache, and the time limit counts from before the write. Slowdowns begin up to the end of a drain, some servers leave without a drain, and removals keep two VMs of a service.

--- a/tests/tools/test_soak_rules.py
+++ b/tests/tools/test_soak_rules.py
@@ -63,6 +63,7 @@
             process_id=_ENTRY,
             content=_CONTENT,
             time_limit=5.0,
+            began_at=sent_at,
             sent_at=sent_at,
             ended_at=ended_at,
             end=RequestEnd.CLOSED,
@@ -194,6 +195,12 @@
         self.send(101, 102, time_limit=1.001)
         self.assert_broken('LOST')
 
+    def test_late_caller(self) -> None:
+        """The time limit counts from before the request was written."""
+        self.send(101.1, 102, began_at=101, time_limit=1.0)
+        self.run_at_server(101.1, 102)
+        self.assert_broken()
+
     def test_long_work(self) -> None:
         """Work in the last sixth excuses requests sent in the first 3 s."""
         self.run_at_server(103.1, 105)
--- a/tools/soaking/connections.py
+++ b/tools/soaking/connections.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import zlib
+from time import monotonic
 from typing import cast
 
 import httptools
@@ -140,6 +141,7 @@
         self._content_by_header = {}
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = self._loop.create_future()
+        row.began_at = monotonic()
         self._transport.write(_encode(row, deadline))
         # The transport writes at the end of this pass of the event loop.
         self._loop.call_soon(self._note_sent, row)
@@ -161,16 +163,16 @@
     def _give_up(self, row: SentRequest, end: RequestEnd) -> None:
         if row.end is RequestEnd.OPEN:
             row.end = end
-            row.ended_at = self._loop.time()
+            row.ended_at = monotonic()
         self.close()
 
     def _note_sent(self, row: SentRequest) -> None:
-        row.sent_at = min(self._loop.time(), row.ended_at)
+        row.sent_at = min(monotonic(), row.ended_at)
 
     def _finish(self, end: RequestEnd) -> None:
         assert self._row is not None
         self._row.end = end
-        self._row.ended_at = self._loop.time()
+        self._row.ended_at = monotonic()
         self._row.sent_at = min(self._row.sent_at, self._row.ended_at)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/tools/soaking/disturbances.py
+++ b/tools/soaking/disturbances.py
@@ -13,6 +13,13 @@
 
 # Shortest time between two signals that do not come at once.
 _SOON = 0.05
+_ABRUPT_SHARE = 0.3
+# VMs of a service that are not removed.
+_KEPT_VMS = 2
+# Part of the nodes that stops while servers are slow.
+_STOPPED_PART = 5
+# Until the end of the drain of a node that is stopped at once.
+_LATEST_SLOWDOWN = 5
 _FIRST_SECONDS = 1.0
 # Disturbances end early enough that the last grace period ends within the run.
 _LAST_SECONDS = 9.0
@@ -173,6 +180,8 @@
 def draw_removal(draw: Draw) -> list[Step]:
     """Remove a VM: its backend server leaves, then its node is stopped.
 
+    Some servers withdraw their announcement without a drain before it.
+
     :param draw: the state of the draw.
     :return: the steps, none if no service has a VM to spare.
     """
@@ -180,14 +189,15 @@
     names = [
         name
         for name, service in sorted(draw.service_by_vm.items())
-        if counts[service] > 1
+        if counts[service] > _KEPT_VMS
     ]
     if not names:
         return []
     vm = draw.source.choice(names)
     draw.service_by_vm.pop(vm)
     seconds = draw.source.uniform(2, 4)
-    return [Step(draw.now, 'remove', vm, seconds=seconds)]
+    is_abrupt = draw.source.random() < _ABRUPT_SHARE
+    return [Step(draw.now, 'remove', vm, int(is_abrupt), seconds)]
 
 
 @disturbances.register('addition')
@@ -212,9 +222,10 @@
     :return: the steps.
     """
     service = draw.source.choice(sorted(set(draw.service_by_vm.values())))
-    vms = draw.source.sample(sorted(draw.service_by_vm), 2)
+    names = sorted(draw.service_by_vm)
+    vms = draw.source.sample(names, max(2, len(names) // _STOPPED_PART))
     slow = Step(
-        draw.after(1, 4),
+        draw.after(2, _LATEST_SLOWDOWN),
         'slow',
         service,
         seconds=draw.source.uniform(2, 6),
--- a/tools/soaking/entities.py
+++ b/tools/soaking/entities.py
@@ -82,8 +82,9 @@
     """One request of a caller, or of a backend server's run.
 
     ``process_id`` is the node process that received it, ``time_limit`` the
-    shorter of the caller's deadline and the route's timeout, and ``sent_at``
-    when its last byte was sent.
+    shorter of the caller's deadline and the route's timeout. The last byte was
+    sent between ``began_at`` and ``sent_at``, which differ if this process is
+    late.
     """
 
     id: str
@@ -96,6 +97,7 @@
     key: str = ''
     is_nested: bool = False
     is_first_of_connection: bool = True
+    began_at: float = NEVER
     sent_at: float = NEVER
     ended_at: float = NEVER
     end: RequestEnd = RequestEnd.OPEN
--- a/tools/soaking/excuses.py
+++ b/tools/soaking/excuses.py
@@ -76,7 +76,7 @@
     runs = history.runs_of(row.id)
     return (
         any(run.end is RunEnd.BROKE_OFF for run in runs)
-        or row.ended_at - row.sent_at >= row.time_limit
+        or row.ended_at - row.began_at >= row.time_limit
         or _is_impaired(history, bounds, row, runs)
         or (
             stopped_at is not None
--- a/tools/soaking/fleet.py
+++ b/tools/soaking/fleet.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from time import monotonic
 from typing import Any
 
 from figlane.registry import Registry
@@ -151,9 +152,9 @@
     async def measure_lag(self) -> None:
         """Measure how late the event loop runs its timers."""
         while True:
-            due = self._loop.time() + _LAG_SECONDS
+            due = monotonic() + _LAG_SECONDS
             await asyncio.sleep(_LAG_SECONDS)
-            lag = self._loop.time() - due
+            lag = monotonic() - due
             self.history.max_lag = max(self.history.max_lag, lag)
 
     def start_task(self, running: Coroutine[Any, Any, Any]) -> None:
@@ -189,7 +190,7 @@
     started_at = loop.time()
     for step in steps:
         await asyncio.sleep(max(0, started_at + step.at - loop.time()))
-        fleet.history.events.append(Event(loop.time(), _describe(step)))
+        fleet.history.events.append(Event(monotonic(), _describe(step)))
         fleet.start_task(actions.find(step.action)(fleet, step))
 
 
@@ -222,7 +223,7 @@
     :param step: the step.
     """
     vm = fleet.vms_by_name[step.target]
-    await vm.server.leave(step.seconds)
+    await vm.server.leave(step.seconds, is_abrupt=bool(step.number))
     vm.node.state.is_wanted = False
     vm.node.send_signal(signal.SIGTERM)
 
--- a/tools/soaking/main.py
+++ b/tools/soaking/main.py
@@ -17,6 +17,7 @@
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
+from time import monotonic
 
 import uvloop
 
@@ -41,7 +42,7 @@
 _DEFAULT_VMS = 19
 _SMALL_VMS = 8
 _DEFAULT_SECONDS = 60
-_SMALL_SECONDS = 25
+_SMALL_SECONDS = 30
 # Requests a second of all callers together, without nested calls.
 _RATE = 45
 _SPARE_VMS = 4
@@ -193,7 +194,7 @@
     if not await fleet.wait_until_ready():
         raise NotRun('the nodes are not ready')
     await asyncio.sleep(_SPREAD_SECONDS)
-    started_at = asyncio.get_running_loop().time()
+    started_at = monotonic()
     await _disturb(seed, options, fleet)
     breaches = check_all(fleet.history, fleet.plan.bounds)
     _print(report(seed, fleet.history, breaches, started_at))
--- a/tools/soaking/processes.py
+++ b/tools/soaking/processes.py
@@ -10,6 +10,7 @@
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
+from time import monotonic
 
 from figlane.settings import split_address
 from standins.platform_site import SiteVm, node_settings
@@ -94,7 +95,7 @@
             row = state.row
             assert row is not None
             row.exit_code = await process.wait()
-            row.ended_at = self._loop.time()
+            row.ended_at = monotonic()
             await asyncio.sleep(_RESTART_SECONDS)
 
     async def check_readiness(self) -> None:
@@ -119,7 +120,7 @@
         is_first = not self._history.signal_times(row.id, signal.SIGTERM)
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(number)
-        self._history.add_signal(row.id, number, self._loop.time())
+        self._history.add_signal(row.id, number, monotonic())
         if number == signal.SIGTERM and is_first:
             self.state.is_stopping = True
             self._call_later(self._plan.bounds.grace, self._kill, row.id)
@@ -162,7 +163,7 @@
             name,
             process.pid,
             str(log_path),
-            self._loop.time(),
+            monotonic(),
         )
         self._history.processes_by_id[state.row.id] = state.row
         for seconds, number in state.signals_after_start:
--- a/tools/soaking/servers.py
+++ b/tools/soaking/servers.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from time import monotonic
 from typing import Any
 
 from figlane.adapters.http_callback_server import (
@@ -182,22 +183,27 @@
         await self.server.start(*split_address(self._vm.address('app')))
         self._announcing = self._loop.create_task(self._announce())
 
-    async def leave(self, drain_seconds: float) -> None:
+    async def leave(self, drain_seconds: float, *, is_abrupt: bool) -> None:
         """Announce that the server leaves, finish the runs and end.
 
         :param drain_seconds: how long it serves after the acknowledgement.
+        :param is_abrupt: withdraw the announcement without a drain before it.
         """
         self._announcer.state = 'draining'
+        announce = self._announcer.announce
+        if is_abrupt:
+            announce = self._announcer.withdraw_announcement
         control = self._vm.address('control')
         for _ in range(_LAST_RUNS_SECONDS):
-            if await self._announcer.announce(control) == _OK:
+            if await announce(control) == _OK:
                 break
             await asyncio.sleep(1)
         await asyncio.sleep(drain_seconds)
         ends_at = self._loop.time() + _LAST_RUNS_SECONDS
         while self._open_by_connection and self._loop.time() < ends_at:
             await asyncio.sleep(_POLL_SECONDS)
-        await self._announcer.withdraw_announcement(control)
+        if not is_abrupt:
+            await self._announcer.withdraw_announcement(control)
         self.close()
 
     def close(self) -> None:
@@ -247,7 +253,7 @@
         if row is None:
             return
         row.run.end = end
-        row.run.ended_at = self._loop.time()
+        row.run.ended_at = monotonic()
         row.task.cancel()
 
     def _new_run(self, request: HttpRequest) -> Run:
@@ -265,7 +271,7 @@
                 names.find_value(received, names.CALLER_SERVICE).decode(),
                 names.find_value(received, names.ORGANISATION).decode(),
             ),
-            self._loop.time(),
+            monotonic(),
         )
 
     async def _run(
@@ -282,7 +288,7 @@
             run.status = _FAILED
         self._open_by_connection.pop(connection, None)
         run.end = RunEnd.ANSWERED
-        run.ended_at = self._loop.time()
+        run.ended_at = monotonic()
         seal = format_seal(run.request_id, run.status, body)
         headers = ((names.REQUEST_ID, run.request_id.encode()), (SEAL, seal))
         connection.respond(run.status, headers, body)
