Show that a repeated stop request delays final answers

A request to stop that comes after the drain and before the process ends lets open calls wait 0.15 s more for an answer, past the end.

--- a/tests/systems/calls/test_time_limits.py
+++ b/tests/systems/calls/test_time_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from figlane.entities.http import Answer
-from figlane.entities.node_drain import DRAIN_ID
+from figlane.entities.node_drain import DRAIN_ID, DrainRequested
 from figlane.errors import ErrorKind
 from tests.simulated_network import ENTRY
 from tests.systems.calls.stopping_case import (
@@ -89,6 +89,17 @@
             kinds = [outcome.kind for outcome in outcomes]
             self.assertEqual(kinds, [ErrorKind.OUTCOME_UNKNOWN])
 
+    def test_repeated_stop_delays_no_final_answer(self) -> None:
+        """Guards against a stop request in the last moment before the end."""
+        call = self.network.arrive('POST')
+        self.drain()
+        self.advance_to(0)
+        self.advance_to(-_TRANSIT_SECONDS)
+        request = DrainRequested(DRAIN_SECONDS, stops_process=True)
+        self.network.inject(ENTRY, request)
+        self.advance_to(-_CLOSING_SECONDS)
+        self.assertIn(call, self.network.outcomes_by_call)
+
     def test_call_without_time_does_not_run(self) -> None:
         """An exit node refuses what its server cannot do before the stop.
 
