Give final answers in time also when a stop is requested again

A request to stop that came between the end of the drain and the end of the process moved the final answers of open calls past the end, so that their connections were closed without one.

Cause: each such request ends the open calls anew, and the time left to answers was counted from then on.

An answer is now awaited no longer than was decided first.

--- a/src/figlane/systems/calls/stopping.py
+++ b/src/figlane/systems/calls/stopping.py
@@ -122,4 +122,4 @@
 def _schedule_final_answer(world: World, call: Call, now: float) -> None:
     # The status of a streamed answer has already been sent.
     if call.id not in world.incoming_streams:
-        world.calls.schedule(call, min(call.deadline, now + ANSWER_SECONDS))
+        world.calls.schedule(call, min(call.due, now + ANSWER_SECONDS))
