Show what else goes wrong when a stop meets a stop

test_queued_execution_at_the_end: a call that another node has sent and that is still queued when the drain ends got no refusal; its outcome is unknown. test_stop_while_an_operators_drain_runs: SIGTERM 4 s into a drain of 5 s by an operator ended the process after 1 s, not 5 s, with a call running. test_stop_after_the_end_of_an_operators_drain: SIGTERM after a drain whose time was over ended the process in the same tick, with a call running. test_stop_at_the_end_of_the_interpreter: exit code -15 instead of 0.

Cases that pass and stay: requests to stop and to drain that come while a stop runs do not move its end; SIGTERM, SIGHUP, SIGTERM, SIGINT and SIGTERM in a row with a request open; an operator's drain, SIGTERM, drain and SIGTERM with a call running; SIGTERM while a node waits for a slow reader after its drain; a stop before a node has started, in one process and for both programs.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -33,7 +33,7 @@
 _WINDOW_BYTES = 16_384
 
 # Times of further requests to stop, in seconds after the first one.
-_REPEATED_AFTER_SECONDS = (0.05, 1.0, 3.0)
+_REPEATED_AFTER_SECONDS = (0.05, 1.0, 2.4, 3.0)
 # Time for which a node serves callers until they know that it stops.
 _ENTRY_GRACE_SECONDS = 2.0
 # A call that begins while the node accepts every call, and lasts until shortly
@@ -80,16 +80,17 @@
         """Guards against answers that are cut off while a caller reads them.
 
         The call has ended at all nodes long before its caller has read the
-        answer that waits in the node that stops.
+        answer that waits in the node that stops, which gets further requests
+        to stop meanwhile, one of them when its drain has ended.
         """
         for vm in self.shop_vms:
             vm.backend.body_bytes = _SLOW_BODY_BYTES
         reader = asyncio.create_task(self._read_slowly())
         await asyncio.sleep(0.3)
-        self.caller_vm.node.stop()
+        seconds = await self._stop_repeatedly()
         received = await reader
         self.assertGreater(received, _SLOW_BODY_BYTES)
-        await self.caller_vm.task
+        self.assertLess(seconds, _GRACE_SECONDS)
 
     async def test_idle_node_stops_early(self) -> None:
         """A node without work does not use up the grace period."""
@@ -104,6 +105,14 @@
         self.assertGreater(seconds, _ENTRY_GRACE_SECONDS)
         self.assertLess(seconds, _GRACE_SECONDS - 1)
 
+    async def test_stop_before_the_start(self) -> None:
+        """A node that is told to stop before it has started ends."""
+        for title in ('stop', 'stop_now'):
+            with self.subTest(title):
+                vm = await self.fleet.add('front', 'b')
+                getattr(vm.node, title)()
+                await asyncio.wait_for(vm.task, _GRACE_SECONDS)
+
     async def _start_load(self) -> list[_Load]:
         draw_seconds = functools.partial(
             random.Random(4).uniform, _MIN_WORK_SECONDS, _MAX_WORK_SECONDS
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -28,8 +28,15 @@
 _SIGNAL_TIMEOUT_SECONDS = 10
 # Time of processing of the request that is open while the signals come.
 _WORK_SECONDS = 1.2
-# Pauses after each signal.
-_REPEATED_AFTER_SECONDS = (0.05, 0.5, 0)
+# Signals that come while the request is open, and the pauses after each.
+_SERIES = (
+    (signal.SIGTERM, 0.05),
+    (signal.SIGHUP, 0.05),
+    (signal.SIGTERM, 0.5),
+    (signal.SIGINT, 0.05),
+    (signal.SIGTERM, 0),
+)
+_INTERRUPTS = ((signal.SIGINT, _SIGNAL_SECONDS), (signal.SIGINT, 0))
 # Longest stop of a node that has not served anything.
 _EMPTY_STOP_SECONDS = 1.0
 # Runs a node that gets SIGTERM as soon as it handles signals.
@@ -55,6 +62,20 @@
 """
 
 
+# Runs a node that gets a signal when the interpreter clears its last module.
+_STOPPED_AT_THE_END = """
+import os, signal, sys
+from figlane.platform import node
+
+class Signal:
+    def __del__(self, kill=os.kill, id=os.getpid(), number=signal.SIGTERM):
+        kill(id, number)
+
+sys.signal_at_the_end = Signal()
+sys.exit(node.main(()))
+"""
+
+
 class ProcessTest(IsolatedAsyncioTestCase):
     """Life cycle of one node process."""
 
@@ -122,15 +143,13 @@
         """Guards against a second SIGTERM that cuts off open requests."""
         process = await self._start()
         call = await self._open_call()
-        await _signal_repeatedly(
-            process, signal.SIGTERM, _REPEATED_AFTER_SECONDS
-        )
+        await _send_series(process, _SERIES)
         lines = await self._read_to_the_end(process)
         self.assertEqual(await call, 200)
         last = lines[-1]
         stops = [line for line in lines if line['event'] == 'node_stopping']
         self.assertEqual(
-            [line['is_repeated'] for line in stops], [False, True, True]
+            [line['is_repeated'] for line in stops], [False, True, True, True]
         )
         self.assertEqual(last['event'], 'node_stopped')
         self.assertEqual(last['requests_cut_off'], 0)
@@ -163,6 +182,17 @@
         self.assertEqual(last['event'], 'node_stopped')
         self.assertLess(last['seconds'], _EMPTY_STOP_SECONDS)
 
+    async def test_stop_at_the_end_of_the_interpreter(self) -> None:
+        """Guards against an exit code that tells of a failure.
+
+        SIGTERM comes again when the process has done all of its work.
+        """
+        process = await self._start('-c', _STOPPED_AT_THE_END)
+        await self._until_ready()
+        process.send_signal(signal.SIGTERM)
+        lines = await self._read_to_the_end(process)
+        self.assertEqual(lines[-1]['event'], 'node_stopped')
+
     async def _start_backend(self) -> PlatformBackend:
         loop = asyncio.get_running_loop()
         address = self.addresses['app']
@@ -201,7 +231,7 @@
         self, process: asyncio.subprocess.Process
     ) -> list[dict[str, Any]]:
         await asyncio.sleep(_SIGNAL_SECONDS)
-        await _signal_repeatedly(process, signal.SIGINT, (_SIGNAL_SECONDS, 0))
+        await _send_series(process, _INTERRUPTS)
         return await self._read_to_the_end(process)
 
     async def _read_to_the_end(
@@ -235,12 +265,11 @@
                 await asyncio.sleep(0.1)
 
 
-async def _signal_repeatedly(
+async def _send_series(
     process: asyncio.subprocess.Process,
-    number: signal.Signals,
-    pauses: tuple[float, ...],
+    series: tuple[tuple[signal.Signals, float], ...],
 ) -> None:
-    for seconds in pauses:
+    for number, seconds in series:
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(number)
         await asyncio.sleep(seconds)
--- a/tests/systems/membership/test_leaving.py
+++ b/tests/systems/membership/test_leaving.py
@@ -17,6 +17,7 @@
 from figlane.entities.world import Identity, World
 from figlane.errors import ErrorKind, ExecutionStatus
 from figlane.systems.tick import run_tick
+from tests.systems.exit_node import ExitNode
 
 _DRAIN_SECONDS = 5.0
 
@@ -102,5 +103,86 @@
         )
 
 
+class ExitStopTest(unittest.TestCase):
+    """An exit node that runs one call of another node and has queued one."""
+
+    def setUp(self) -> None:
+        """Start the node and offer it both calls."""
+        self.node = ExitNode(slots=1)
+        self.now = 100.0
+        # How often the node has said that its process may end.
+        self.ends = 0
+        self.node.world.inbox.append(NodeStarted(frozenset()))
+        self.node.offer()
+        self.queued_id = self.node.offer()
+        self.node.tick(self.now)
+        self.assertEqual(len(self.node.running), 1)
+        self.assertEqual(len(self.node.queued), 1)
+
+    def test_queued_execution_at_the_end(self) -> None:
+        """Guards against queued calls whose outcome is unknown after a stop."""
+        # Shorter than the wait after which a queued call is refused.
+        self._drain(0.3, stops_process=True)
+        self._advance(0.2)
+        self.assertEqual(self.ends, 0)
+        self.assertEqual(self.node.refusals, [])
+        self._advance(0.2)
+        self.assertEqual(self.ends, 1)
+        refused = [(row.call_id, row.kind) for row in self.node.refusals]
+        self.assertEqual(refused, [(self.queued_id, ErrorKind.DRAINING.value)])
+        self.assertEqual(len(self.node.running), 1)
+
+    def test_stop_while_an_operators_drain_runs(self) -> None:
+        """Guards against a stop without a grace period of its own."""
+        self._drain(stops_process=False)
+        self._advance(_DRAIN_SECONDS - 1)
+        self._drain(stops_process=True)
+        self._advance(_DRAIN_SECONDS - 0.1)
+        self.assertEqual(self.ends, 0)
+        self._advance(0.2)
+        self.assertEqual(self.ends, 1)
+
+    def test_stop_after_the_end_of_an_operators_drain(self) -> None:
+        """Guards against a stop that cuts off what a drain has left running."""
+        self._drain(stops_process=False)
+        self._advance(_DRAIN_SECONDS + 1)
+        self._drain(stops_process=True)
+        self._advance(1)
+        self.assertEqual(self.ends, 0)
+        for execution in self.node.running:
+            self.node.finish(execution)
+        self._advance(1)
+        self.assertEqual(self.ends, 1)
+
+    def test_repeated_requests_change_nothing(self) -> None:
+        """Neither stops nor drains move the end of a stop."""
+        self._drain(stops_process=True)
+        self._advance(_DRAIN_SECONDS - 1)
+        for stops_process in (True, False):
+            self._drain(stops_process=stops_process)
+        self._advance(0.9)
+        self.assertEqual(self.ends, 0)
+        self._advance(0.2)
+        self.assertEqual(self.ends, 1)
+
+    def _drain(
+        self, seconds: float = _DRAIN_SECONDS, *, stops_process: bool
+    ) -> None:
+        self.node.world.inbox.append(
+            DrainRequested(seconds, stops_process=stops_process)
+        )
+        self._tick()
+
+    def _advance(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now = min(self.now + 0.05, until)
+            self._tick()
+
+    def _tick(self) -> None:
+        self.node.tick(self.now)
+        self.ends += _count_ends(self.node.outbox)
+
+
 def _count_ends(rows: list[object]) -> int:
     return sum(isinstance(row, NodeDrained) for row in rows)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -6,6 +6,8 @@
 import json
 import os
 import signal
+import subprocess
+import sys
 import time
 import unittest
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -24,6 +26,20 @@
     },
 )
 _CALL_MS = 1500
+# Runs a node that gets SIGTERM as soon as it handles signals.
+_STOPPED_AT_START = """
+import os, signal, sys
+from figlane import node
+
+handle_signals = node.handle_signals
+
+def handle_and_send(*arguments):
+    handle_signals(*arguments)
+    os.kill(os.getpid(), signal.SIGTERM)
+
+node.handle_signals = handle_and_send
+sys.exit(node.main(('--settings', sys.argv[1])))
+"""
 _TIMEOUT_SECONDS = 10
 
 
@@ -112,6 +128,31 @@
         self.assertEqual(running.result().status, 200)
         self.assertEqual(self.exit.popen.wait(_TIMEOUT_SECONDS), 0)
 
+    def test_drain_then_repeated_signals(self) -> None:
+        """A stop after an operator's drain waits for what runs."""
+        running = self._open_call('entry')
+        admin = self.exit.printed_addresses['admin']
+        for _ in range(2):
+            self.assertEqual(call('PUT', f'http://{admin}/drain').status, 200)
+            self.exit.popen.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+        self.assertEqual(running.result().status, 200)
+        self.assertEqual(self.exit.popen.wait(_TIMEOUT_SECONDS), 0)
+
+    def test_stop_while_starting(self) -> None:
+        """SIGTERM before the sockets are open ends the process."""
+        settings = json.loads((self.fleet.folder / 'exit.json').read_text())
+        path = self.fleet.folder / 'late.json'
+        path.write_text(json.dumps({**settings, 'node_id': 'late'}))
+        process = subprocess.run(
+            (sys.executable, '-c', _STOPPED_AT_START, str(path)),
+            check=False,
+            capture_output=True,
+            timeout=_TIMEOUT_SECONDS,
+        )
+        self.assertEqual(process.returncode, 0, process.stderr)
+        self.assertIn(b'node_stopped', process.stderr)
+
     def test_second_interrupt(self) -> None:
         """A second SIGINT ends the process, and cuts off what runs.
 
