Refuse executions that have not started when a drain ends

What callers would see: a call that another node has sent to a node that stops, and that still waits there when the drain ends, has an unknown outcome, though it has not run.

Cause: the end of a drain refuses and withdraws the calls of the node's own callers only. Executions of other nodes' calls that wait for a slot or for the witness of their key were left to the end of the process.

Change: at the end of the drain they are refused as draining, so that their entry nodes can send them elsewhere. What runs goes on until the process ends.

Evidence: test_queued_execution_at_the_end failed (no refusal; expected call-2, draining) and passes. tests of keys, of stops and of signals pass.

--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -39,10 +39,13 @@
 _IDLE_SECONDS = 0.5
 _CHECK_SECONDS = 0.25
 
-_UNFINISHED = (
+_NOT_STARTED = (
     ExecutionPhase.KEYED,
     ExecutionPhase.CLAIMING,
     ExecutionPhase.QUEUED,
+)
+_UNFINISHED = (
+    *_NOT_STARTED,
     ExecutionPhase.RUNNING,
     ExecutionPhase.ANSWERED,
 )
@@ -158,10 +161,17 @@
         world.outbox.append(NodeDrained())
     if now >= drain.ends_by:
         end_open_calls(world, now)
+        _refuse_unstarted_executions(world, now)
     else:
         world.node_drains.schedule(drain, drain.ends_by)
 
 
+def _refuse_unstarted_executions(world: World, now: float) -> None:
+    for phase in _NOT_STARTED:
+        for execution in world.executions.in_phase(phase):
+            end_execution(world, execution, Refusal(ErrorKind.DRAINING), now)
+
+
 def count_open_executions(world: World) -> int:
     """Count the executions that wait or run at this node.
 
