Give a stop after an operator's drain a grace period of its own

What callers would see: SIGTERM to a node that an operator had drained before cut off what ran: at once if the time limit of that drain was over, and else at its end, however soon that was. Found while the ends of stops were gone through, not in a record.

Cause: the drain had one time limit, that of the first request, and a request that the process exits only added the exit.

Change: the first request that the process exits sets the time limit anew and looks again whether work is left. All further requests change nothing.

Evidence: test_stop_while_an_operators_drain_runs and test_stop_after_the_end_of_an_operators_drain failed (the process might end with a call running) and pass, with test_stop_after_an_operators_drain (an idle node ends at once) and test_repeated_requests_change_nothing, which passed before.

--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -55,8 +55,9 @@
 def handle_drain_request(world: World, row: DrainRequested, now: float) -> None:
     """Start draining this node.
 
-    While the node drains, a further request can only add that the process exits
-    after the drain.
+    While the node drains, further requests change nothing, except for the first
+    one that the process exits after the drain: its time limit goes before that
+    of the operator's drain.
 
     :param world: the tables.
     :param row: the request.
@@ -64,8 +65,8 @@
     """
     drain = world.node_drains.get(DRAIN_ID)
     if drain is not None:
-        drain.stops_process = drain.stops_process or row.stops_process
-        world.node_drains.schedule(drain, now)
+        if row.stops_process and not drain.stops_process:
+            _add_stop(world, drain, row, now)
         return
     world.node_drains.insert(
         NodeDrain(
@@ -84,6 +85,15 @@
     world.outbox.append(NodeDraining())
 
 
+def _add_stop(
+    world: World, drain: NodeDrain, row: DrainRequested, now: float
+) -> None:
+    drain.stops_process = True
+    drain.ends_by = now + row.seconds
+    world.node_drains.move(drain, DrainPhase.DRAINING)
+    world.node_drains.schedule(drain, now)
+
+
 @inbox_handlers.register(DrainEndRequested)
 def handle_drain_end_request(
     world: World, row: DrainEndRequested, now: float
