Ignore signals once the work of a process has ended

What operators would see: a process that has ended its stop, and gets SIGTERM once more while the interpreter shuts down, exits with -15, as if it had been killed.

Cause: the interpreter restores the default handlers of signals that have a Python handler before it clears its modules.

Change: both programs ignore SIGTERM, SIGINT and SIGHUP when their event loop has ended.

A SIGTERM before the signals are handled, in the imports, still ends a process with the default action; nothing is open then.

--- a/src/figlane/node.py
+++ b/src/figlane/node.py
@@ -18,7 +18,7 @@
 from figlane.garbage_collection import configure_garbage_collection
 from figlane.policy_names import check_policies
 from figlane.settings import NodeSettings, load_settings
-from figlane.signals import handle_signals, ignore_reloads
+from figlane.signals import handle_signals, ignore_reloads, ignore_signals
 from figlane.wire.checking import CheckError
 
 _EXIT_OK = 0
@@ -45,7 +45,10 @@
         return _EXIT_OK
     configure_log(settings.telemetry.log_format)
     configure_garbage_collection()
-    uvloop.run(_serve(settings))
+    try:
+        uvloop.run(_serve(settings))
+    finally:
+        ignore_signals()
     return _EXIT_OK
 
 
--- a/src/figlane/platform/node.py
+++ b/src/figlane/platform/node.py
@@ -27,7 +27,7 @@
     PlatformSettings,
     load_platform_settings,
 )
-from figlane.signals import handle_signals, ignore_reloads
+from figlane.signals import handle_signals, ignore_reloads, ignore_signals
 from figlane.wire.checking import CheckError
 
 _SETTINGS_VARIABLE = 'FIGLANE_CONFIG'
@@ -84,6 +84,7 @@
     try:
         uvloop.run(_serve(settings, stream))
     finally:
+        ignore_signals()
         stream.flush_now(_LAST_LINES_SECONDS)
     return _EXIT_OK
 
--- a/src/figlane/signals.py
+++ b/src/figlane/signals.py
@@ -54,6 +54,16 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
+def ignore_signals() -> None:
+    """Ignore all handled signals in a process whose work has ended.
+
+    The interpreter restores their default handlers before it exits, by which
+    they would end the process with an exit code that tells of a failure.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def handle_signals(loop: asyncio.AbstractEventLoop, node: Stoppable) -> None:
     """Stop on SIGTERM or SIGINT, and log SIGHUP.
 
