--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -39,10 +39,13 @@
 _IDLE_SECONDS = 0.5
 _CHECK_SECONDS = 0.25
 
-_UNFINISHED = (
+_NOT_STARTED = (
     ExecutionPhase.KEYED,
     ExecutionPhase.CLAIMING,
     ExecutionPhase.QUEUED,
+)
+_UNFINISHED = (
+    *_NOT_STARTED,
     ExecutionPhase.RUNNING,
     ExecutionPhase.ANSWERED,
 )
@@ -52,8 +55,9 @@
 def handle_drain_request(world: World, row: DrainRequested, now: float) -> None:
     """Start draining this node.
 
-    While the node drains, a further request can only add that the process exits
-    after the drain.
+    While the node drains, further requests change nothing, except for the first
+    one that the process exits after the drain: its time limit goes before that
+    of the operator's drain.
 
     :param world: the tables.
     :param row: the request.
@@ -61,8 +65,8 @@
     """
     drain = world.node_drains.get(DRAIN_ID)
     if drain is not None:
-        drain.stops_process = drain.stops_process or row.stops_process
-        world.node_drains.schedule(drain, now)
+        if row.stops_process and not drain.stops_process:
+            _add_stop(world, drain, row, now)
         return
     world.node_drains.insert(
         NodeDrain(
@@ -81,6 +85,15 @@
     world.outbox.append(NodeDraining())
 
 
+def _add_stop(
+    world: World, drain: NodeDrain, row: DrainRequested, now: float
+) -> None:
+    drain.stops_process = True
+    drain.ends_by = now + row.seconds
+    world.node_drains.move(drain, DrainPhase.DRAINING)
+    world.node_drains.schedule(drain, now)
+
+
 @inbox_handlers.register(DrainEndRequested)
 def handle_drain_end_request(
     world: World, row: DrainEndRequested, now: float
@@ -158,10 +171,17 @@
         world.outbox.append(NodeDrained())
     if now >= drain.ends_by:
         end_open_calls(world, now)
+        _refuse_unstarted_executions(world, now)
     else:
         world.node_drains.schedule(drain, drain.ends_by)
 
 
+def _refuse_unstarted_executions(world: World, now: float) -> None:
+    for phase in _NOT_STARTED:
+        for execution in world.executions.in_phase(phase):
+            end_execution(world, execution, Refusal(ErrorKind.DRAINING), now)
+
+
 def count_open_executions(world: World) -> int:
     """Count the executions that wait or run at this node.
 
