--- a/tools/soaking/main.py
+++ b/tools/soaking/main.py
@@ -178,12 +178,12 @@
     plan = ProcessPlan(options.node_root, folder, address, bounds)
     fleet = Fleet(History(), plan, seed)
     fleet.spares_by_name = _site_vms(network, _DEFAULT_VMS, _SPARE_VMS)
-    lag_task = loop.create_task(fleet.measure_lag())
+    fleet.start_task(fleet.measure_lag())
     try:
         return await _judge(seed, options, fleet, network)
     finally:
-        lag_task.cancel()
         await fleet.end()
+        store.server.close()
 
 
 async def _judge(
