--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -26,7 +26,7 @@
 _MS_PER_SECOND = 1000
 _DEADLINE_HEADER = b'figlane-deadline-ms'
 _REQUEST_ID_HEADER = b'figlane-request-id'
-_SEAL_HEADER = b'figlane-response-seal'
+SEAL_HEADER = b'figlane-response-seal'
 HEALTH_PATH = '/health'
 
 
@@ -259,7 +259,7 @@
     def _headers(self, request_id: str) -> Headers:
         return (
             (_REQUEST_ID_HEADER, request_id.encode()),
-            (_SEAL_HEADER, f'seal-{request_id}'.encode()),
+            (SEAL_HEADER, f'seal-{request_id}'.encode()),
             *self.notice_headers,
         )
 
--- a/tools/soaking/connections.py
+++ b/tools/soaking/connections.py
@@ -18,10 +18,10 @@
     RETRY_AFTER,
 )
 from figlane.settings import split_address
+from standins.platform_backend import SEAL_HEADER
 from standins.platform_site import HOST, RequestClass
 from tools.soaking.entities import Answer, RequestEnd, SentRequest
 
-SEAL = b'figlane-response-seal'
 CONNECT_TIMEOUT_SECONDS = 1
 _SLOW_RECEIVE_BUFFER_BYTES = 2048
 _SLOW_READ_PAUSE_SECONDS = 0.2
@@ -257,7 +257,7 @@
     answer.closes = content_by_header.get(b'connection', b'') == b'close'
     with contextlib.suppress(ValueError):
         answer.retry_after = float(content_by_header.get(RETRY_AFTER, b'0'))
-    seal = content_by_header.get(SEAL, b'')
+    seal = content_by_header.get(SEAL_HEADER, b'')
     parts = seal.decode('latin-1').split('.')
     if len(parts) != _SEAL_PARTS:
         return
--- a/tools/soaking/servers.py
+++ b/tools/soaking/servers.py
@@ -17,7 +17,7 @@
 from figlane.adapters.request_reader import HttpRequest
 from figlane.platform import headers as names
 from figlane.settings import split_address
-from standins.platform_backend import PlatformBackend
+from standins.platform_backend import SEAL_HEADER, PlatformBackend
 from standins.platform_site import (
     CLASS_BY_NAME,
     HEALTH_PATH,
@@ -25,7 +25,6 @@
     draw_size,
 )
 from tools.soaking.connections import (
-    SEAL,
     ClientConnection,
     connect,
     format_seal,
@@ -290,7 +289,10 @@
         run.end = RunEnd.ANSWERED
         run.ended_at = monotonic()
         seal = format_seal(run.request_id, run.status, body)
-        headers = ((names.REQUEST_ID, run.request_id.encode()), (SEAL, seal))
+        headers = (
+            (names.REQUEST_ID, run.request_id.encode()),
+            (SEAL_HEADER, seal),
+        )
         connection.respond(run.status, headers, body)
 
     async def _work(self, run: Run, ends_at: float) -> bytes:
