Answer what has been read before a stopping server closes a connection

Callers that pipeline saw their connection closed behind the first answer of a node that stops; requests that the node had read, whole or in part, got none.

While a server closes, each answer said "connection: close" and closed the connection, whatever waited behind it.

An answer now says "connection: close" only if no other request of the connection has been read in whole or part. A server that closes queues the requests of one read until all of it is parsed. The wait is bounded as before: by the head and idle time-outs and by the end of the stop. The limit of pipelined requests stays; it counts the open one with them. Behind a rejected request nothing more is dispatched, since the connection is closing.

Remains: whole requests behind an open answer are dropped, as before, when a malformed request follows them.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -21,8 +21,9 @@
 from figlane.entities.ingress import CallerLimits
 
 _BACKLOG = 2048
-# Maximum number of pipelined requests queued per connection.
-_MAX_PIPELINED = 16
+# Maximum number of requests of a connection that wait for an answer: the open
+# one and those pipelined behind it.
+_MAX_UNANSWERED = 17
 # Interval at which a server that stops looks for open requests, in seconds.
 _STOP_CHECK_SECONDS = 0.02
 # Write buffer size, in bytes, above which a connection counts as congested.
@@ -206,6 +207,7 @@
         if not self._reader.is_receiving:
             self._receiving_since = self._state.loop.time()
         self._reader.feed(data)
+        self._dispatch_next()
         if not self._has_open_request:
             self._start_receive_timeout()
 
@@ -225,7 +227,9 @@
     def on_complete_request(self, row: HttpRequest) -> None:
         """Dispatch a complete request, or queue it behind the open one.
 
-        The connection is aborted if too many requests are pipelined.
+        A server that closes queues each request until all bytes read with it
+        are parsed, since the last answer of a connection differs. The
+        connection is aborted if too many requests are pipelined.
 
         :param row: the request.
         """
@@ -235,11 +239,12 @@
             closed = CutOffReason.CONNECTION_CLOSED
             self._report(row.headers, row.received_at, closed)
             return
-        if not self._has_open_request:
+        if not (self._has_open_request or self._state.is_closing):
             self._dispatch(row)
             return
         self._pipelined.append(row)
-        if len(self._pipelined) > _MAX_PIPELINED:
+        unanswered = len(self._pipelined) + self._has_open_request
+        if unanswered > _MAX_UNANSWERED:
             self.report_cut_off(CutOffReason.TOO_MANY_PIPELINED)
             self._transport.abort()
 
@@ -255,7 +260,7 @@
             return
         self._report_unanswered(CutOffReason.REJECTED)
         self._report_partial(CutOffReason.REJECTED)
-        if not self._has_open_request:
+        if not (self._has_open_request or self._pipelined):
             self._should_close = True
             lines = self._response_head(status, ())
             lines.append(b'content-length: 0\r\n\r\n')
@@ -341,6 +346,9 @@
             self._report(self._open_headers, self._opened_at, reason)
         self._report_received(reason)
 
+    def _has_further_request(self) -> bool:
+        return bool(self._pipelined) or self._reader.is_receiving
+
     def _report_received(self, reason: CutOffReason) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -375,10 +383,17 @@
         self._reader.limits = self._state.limits
         self._state.handler.on_request(self, request)
 
+    def _dispatch_next(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._pipelined and not self._has_open_request:
+            self._dispatch(self._pipelined.popleft())
+
     def _response_head(self, status: int, headers: Headers) -> list[bytes]:
         lines = [b'HTTP/1.1 %d %b' % (status, _reason_phrase(status))]
         lines.extend([name + b': ' + content for name, content in headers])
-        if self._state.is_closing:
+        if self._state.is_closing and not self._has_further_request():
             self._should_close = True
         if self._should_close:
             lines.append(b'connection: close')
@@ -393,10 +408,9 @@
             self._report_received(CutOffReason.CONNECTION_CLOSED)
             self._transport.close()
             return
-        if self._pipelined:
-            self._dispatch(self._pipelined.popleft())
-            return
-        self._start_timeout(self._state.limits.idle_seconds)
+        self._dispatch_next()
+        if not self._has_open_request:
+            self._start_timeout(self._state.limits.idle_seconds)
 
     def _write(self, content: bytes) -> None:
         if self._transport is not None:
@@ -493,7 +507,7 @@
         )
 
     def start_closing(self) -> None:
-        """Close each connection after its next response.
+        """Close each connection after the response to what it has received.
 
         Idle connections stay open until they are used or time out.
         """
