Read what waits before a stopping server closes its sockets

Callers that connect just before the end of a stop saw their connection reset after they had sent the request, which has not been read.

`CallbackHttpServer.stop` ended at the first check without an open request. A connection that waits to be accepted, or has been accepted and not read, was not counted, since uvloop runs timers before it reads.

At each check the stop now lets five iterations of the event loop pass, enough for a connection that waits to be accepted and read, and ends only if nothing was accepted or read in them and nothing is open.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -26,6 +26,11 @@
 _MAX_UNANSWERED = 17
 # Interval at which a server that stops looks for open requests, in seconds.
 _STOP_CHECK_SECONDS = 0.02
+# Iterations of an event loop within which a connection that waits is accepted
+# and its first bytes are read.
+_READ_ITERATIONS = 5
+# Longest time for which a stop that is over reads what waits, in seconds.
+_LAST_READ_SECONDS = 0.05
 # Write buffer size, in bytes, above which a connection counts as congested.
 _WRITE_HIGH_WATER_BYTES = 262_144
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -74,7 +79,11 @@
 
 
 class ServerState:
-    """State shared by all connections of a server."""
+    """State shared by all connections of a server.
+
+    ``reads`` counts the connections that were accepted and the times that
+    bytes were read.
+    """
 
     __slots__ = (
         'connections',
@@ -82,6 +91,7 @@
         'is_closing',
         'limits',
         'loop',
+        'reads',
         'report_cut_off',
     )
 
@@ -102,6 +112,7 @@
         self.handler = handler
         self.limits = CallerLimits()
         self.is_closing = False
+        self.reads = 0
         self.connections: set[ServerConnection] = set()
 
 
@@ -183,6 +194,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(_WRITE_HIGH_WATER_BYTES)
         self._state.connections.add(self)
+        self._state.reads += 1
         self._start_timeout(self._state.limits.idle_seconds)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -204,6 +216,7 @@
 
         :param data: the bytes.
         """
+        self._state.reads += 1
         if not self._reader.is_receiving:
             self._receiving_since = self._state.loop.time()
         self._reader.feed(data)
@@ -516,18 +529,15 @@
     async def stop(self, seconds: float) -> None:
         """Answer the requests that have arrived, then close the server.
 
-        Connections that wait to be accepted are accepted first.
+        Connections that wait to be accepted are accepted first. What waits at
+        the end of the time is still read, and answered if that takes no time.
 
         :param seconds: the longest wait for open requests, in seconds.
         """
         loop = self.state.loop
         self._stops_by = loop.time() + seconds
-        is_busy = True
-        while is_busy and loop.time() < self._stops_by:
-            await asyncio.sleep(_STOP_CHECK_SECONDS)
-            is_busy = any(
-                connection.is_busy for connection in self.state.connections
-            )
+        if not await self._becomes_idle():
+            await self._read_waiting(loop.time() + _LAST_READ_SECONDS)
         for connection in self.state.connections:
             connection.report_cut_off(CutOffReason.PROCESS_ENDS)
         self.close()
@@ -545,3 +555,25 @@
             self._server.close()
         for connection in tuple(self.state.connections):
             connection.close_if_idle()
+
+    async def _becomes_idle(self) -> bool:
+        while self.state.loop.time() < self._stops_by:
+            await asyncio.sleep(_STOP_CHECK_SECONDS)
+            if not (await self._reads_more() or self._is_busy()):
+                return True
+        return False
+
+    async def _read_waiting(self, ends_by: float) -> None:
+        has_read = True
+        while has_read and self.state.loop.time() < ends_by:
+            has_read = await self._reads_more()
+
+    async def _reads_more(self) -> bool:
+        # A timer may run before the event loop reads what has arrived.
+        reads = self.state.reads
+        for _ in range(_READ_ITERATIONS):
+            await asyncio.sleep(0)
+        return self.state.reads != reads
+
+    def _is_busy(self) -> bool:
+        return any(connection.is_busy for connection in self.state.connections)
