Count the grace period from when a late signal may have come

Callers of a node that was paused when SIGTERM came had their requests closed without an answer, run by backend servers: the node counted the grace period from the moment at which it went on, and was killed at the end of the real one.

The time of a signal is not known when its handler runs.

An event loop that runs handles a signal at once, so that it cannot have come before the latest gap between two ticks. Timers that are due run ticks between the end of a pause and the handler. The world therefore remembers the longest gap (over 0.15 s) that has just ended (0.25 s), and a stop that is requested then counts from its beginning (`systems/gaps.py`). `node_stopping` names it as `late_seconds`. figlane's own interface counts the time limit of the drain in the same way.

--- a/src/figlane/adapters/http_drain.py
+++ b/src/figlane/adapters/http_drain.py
@@ -44,16 +44,20 @@
 
         :return: 200 immediately; the node's state shows the progress.
         """
-        self.request_shutdown(stops_process=False)
+        self.request_shutdown(0, stops_process=False)
         body = msgspec.json.encode({'drain_seconds': self._seconds})
         return Response(_OK, None, Content(b'application/json', body))
 
-    def request_shutdown(self, *, stops_process: bool) -> None:
+    def request_shutdown(
+        self, late_seconds: float, *, stops_process: bool
+    ) -> None:
         """Deliver a request for a graceful shutdown to the inbox.
 
+        :param late_seconds: the part of the drain's time that may be over.
         :param stops_process: whether the process exits after the drain.
         """
-        self._deliver(DrainRequested(self._seconds, stops_process))
+        seconds = max(0, self._seconds - late_seconds)
+        self._deliver(DrainRequested(seconds, stops_process))
 
     def start_closing(self, row: NodeDraining) -> None:
         """Close each connection after its next response.
--- a/src/figlane/adapters/native_interface.py
+++ b/src/figlane/adapters/native_interface.py
@@ -132,9 +132,12 @@
         self._feed.close()
         self._platform.close()
 
-    def request_shutdown(self) -> None:
-        """Request a graceful shutdown; the process exits after the drain."""
-        self._drain.request_shutdown(stops_process=True)
+    def request_shutdown(self, late_seconds: float) -> None:
+        """Request a graceful shutdown; the process exits after the drain.
+
+        :param late_seconds: the part of the drain's time that may be over.
+        """
+        self._drain.request_shutdown(late_seconds, stops_process=True)
 
     def shorten_stop(self) -> None:
         """Leave only the time for the last answers."""
--- a/src/figlane/composition.py
+++ b/src/figlane/composition.py
@@ -39,6 +39,7 @@
 )
 from figlane.settings import TelemetrySettings
 from figlane.systems.cut_offs import count_cut_offs
+from figlane.systems.gaps import earliest_arrival
 from figlane.systems.membership.leaving import count_open_executions
 from figlane.systems.membership.readiness import is_ready
 from figlane.systems.tick import run_tick
@@ -73,10 +74,13 @@
     def close(self) -> None:
         """Close the remaining connections."""
 
-    def request_shutdown(self) -> None:
+    def request_shutdown(self, late_seconds: float) -> None:
         """Deliver the request for a graceful shutdown to the systems.
 
         It is called once.
+
+        :param late_seconds: the longest time for which the request may have
+            waited, which is over already.
         """
 
     def shorten_stop(self) -> None:
@@ -237,16 +241,21 @@
     def _request_shutdown(self) -> None:
         if self._stop_requested_at is not None:
             return
-        self._stop_requested_at = current_time()
+        now = current_time()
+        self._stop_requested_at = now
         self._cut_offs_before = count_cut_offs(self.world)
-        self._interface.request_shutdown()
+        late_seconds = now - earliest_arrival(self.world, now)
+        self._interface.request_shutdown(late_seconds)
 
     def _log_stop_request(
         self, signal_name: str, *, is_immediate: bool = False
     ) -> None:
+        now = current_time()
+        late_seconds = now - earliest_arrival(self.world, now)
         line = {
             'node': self.world.identity.node_id,
             'signal': signal_name,
+            'late_seconds': round(late_seconds, _SECONDS_DECIMALS),
             'is_repeated': self._stop_requested_at is not None,
             'is_immediate': is_immediate,
             'calls': len(self.world.calls),
--- a/src/figlane/entities/world.py
+++ b/src/figlane/entities/world.py
@@ -94,6 +94,22 @@
     slack: float = 0
 
 
+@dataclass(slots=True, frozen=True)
+class TickGap:
+    """Time without a tick, between the start times of two ticks."""
+
+    began_at: float = 0
+    ended_at: float = -NEVER
+
+    @property
+    def seconds(self) -> float:
+        """Length of the gap.
+
+        :return: the time in seconds.
+        """
+        return self.ended_at - self.began_at
+
+
 @dataclass(slots=True)
 class World:
     """The tables, the inbox and the outbox of one node.
@@ -103,7 +119,8 @@
     ``random`` is the only source of randomness that systems use. All tables
     share ``alarm``. ``started_at`` is when the node started, ``ticked_at`` the
     start time of the latest tick, and ``seconds_since_last_tick`` the time
-    between it and the previous tick.
+    between it and the previous tick. ``tick_gap`` is the latest gap between
+    ticks in which the process may have been paused.
     """
 
     identity: Identity
@@ -159,6 +176,7 @@
     started_at: float = NEVER
     ticked_at: float = NEVER
     seconds_since_last_tick: float = 0
+    tick_gap: TickGap = TickGap()
 
     def __post_init__(self) -> None:
         """Collect all tables and let them share one alarm."""
--- a/src/figlane/platform/interface.py
+++ b/src/figlane/platform/interface.py
@@ -148,9 +148,13 @@
         self._feed.close()
         self._store.close()
 
-    def request_shutdown(self) -> None:
-        """Request a graceful shutdown within the grace period."""
-        seconds = max(0, self._settings.grace_seconds - _EXIT_SECONDS)
+    def request_shutdown(self, late_seconds: float) -> None:
+        """Request a graceful shutdown within the grace period.
+
+        :param late_seconds: the part of the grace period that may be over.
+        """
+        reserve = _EXIT_SECONDS + late_seconds
+        seconds = max(0, self._settings.grace_seconds - reserve)
         self._stops_by = self._loop.time() + seconds
         self._deliver(
             DrainRequested(
--- a/src/figlane/systems/tick.py
+++ b/src/figlane/systems/tick.py
@@ -11,6 +11,7 @@
 from figlane import systems
 from figlane.entities.world import World
 from figlane.registry import System
+from figlane.systems.gaps import record_gap
 from figlane.systems.registry import node_systems
 
 # A message that a node sends to itself is handled in the next pass of the same
@@ -39,6 +40,7 @@
     """
     if not world.bound_systems.systems:
         world.bound_systems = node_systems.bind(world)
+    record_gap(world, now)
     world.seconds_since_last_tick = now - world.ticked_at
     world.ticked_at = now
     for _ in range(_MAX_PASSES):
