Read what has arrived before a time-out closes a connection

Callers that sent a request on a kept connection while the node was paused saw the connection reset, or 408, once it went on.

uvloop runs the timers that are due before it reads; the idle and head time-outs closed the connection unread.

A time-out that is due now waits 0.01 s, in which the event loop reads, and takes effect only if its deadline still stands.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -29,6 +29,9 @@
 # Iterations of an event loop within which a connection that waits is accepted
 # and its first bytes are read.
 _READ_ITERATIONS = 5
+# Time within which the event loop reads what has arrived before a time-out, in
+# seconds. After a pause of the process, timers run first.
+_LATE_READ_SECONDS = 0.01
 # Longest time for which a stop that is over reads what waits, in seconds.
 _LAST_READ_SECONDS = 0.05
 # Write buffer size, in bytes, above which a connection counts as congested.
@@ -124,6 +127,7 @@
         '_has_open_request',
         '_is_congested',
         '_has_head_timeout',
+        '_is_overdue',
         '_open_headers',
         '_opened_at',
         '_pipelined',
@@ -153,6 +157,7 @@
         self._has_head_timeout = False
         self._should_close = False
         self._deadline: float = 0
+        self._is_overdue = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_congested = False
         self.on_writable: Callable[[], None] | None = None
@@ -451,6 +456,7 @@
         # A timer that fires before the new deadline is kept and rearmed when it
         # fires, because most waits end long before their deadline.
         self._deadline = self._state.loop.time() + seconds
+        self._is_overdue = False
         if self._timer is None or self._timer.when() > self._deadline:
             self._cancel_timer()
             self._set_timer()
@@ -465,6 +471,12 @@
         if self._state.loop.time() < self._deadline:
             self._set_timer()
             return
+        if not self._is_overdue:
+            self._is_overdue = True
+            self._timer = self._state.loop.call_later(
+                _LATE_READ_SECONDS, self._on_timeout
+            )
+            return
         if self._reader.is_receiving:
             self.on_reject(_REQUEST_TIMEOUT)
             return
--- a/tests/adapters/test_http_server_pause.py
+++ b/tests/adapters/test_http_server_pause.py
@@ -80,11 +80,17 @@
         """Guards against 408 for headers that came in time."""
         self.assertIn(b' 200 ', uvloop.run(_answer_after_pause(_LINE_BYTES)))
 
+    def test_partial_head_during_pause_is_rejected(self) -> None:
+        """Headers that are still incomplete after the pause get 408."""
+        answer = uvloop.run(_answer_after_pause(_LINE_BYTES, _REQUEST[:-2]))
+        self.assertIn(b' 408 ', answer)
 
-async def _answer_after_pause(received: int) -> bytes:
+
+async def _answer_after_pause(received: int, sent: bytes = _REQUEST) -> bytes:
     """Pause a server when it has received a part of a request.
 
     :param received: the number of bytes of the part.
+    :param sent: what the caller has sent when the pause ends.
     :return: what it answers.
     """
     loop = asyncio.get_running_loop()
@@ -96,7 +102,7 @@
     with ours, socket.create_connection(address) as caller:
         caller.sendall(_REQUEST[:received])
         await asyncio.sleep(_LIMITS.idle_seconds / 2)
-        paused = PauseInRead(caller, _REQUEST[received:])
+        paused = PauseInRead(caller, sent[received:])
         await loop.create_connection(lambda: paused, sock=theirs)
         ours.sendall(b'x')
         answer = await asyncio.to_thread(caller.recv, _ANSWER_BYTES)
