--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -21,10 +21,19 @@
 from figlane.entities.ingress import CallerLimits
 
 _BACKLOG = 2048
-# Maximum number of pipelined requests queued per connection.
-_MAX_PIPELINED = 16
+# Maximum number of requests of a connection that wait for an answer: the open
+# one and those pipelined behind it.
+_MAX_UNANSWERED = 17
 # Interval at which a server that stops looks for open requests, in seconds.
 _STOP_CHECK_SECONDS = 0.02
+# Iterations of an event loop within which a connection that waits is accepted
+# and its first bytes are read.
+_READ_ITERATIONS = 5
+# Time within which the event loop reads what has arrived before a time-out, in
+# seconds. After a pause of the process, timers run first.
+_LATE_READ_SECONDS = 0.01
+# Longest time for which a stop that is over reads what waits, in seconds.
+_LAST_READ_SECONDS = 0.05
 # Write buffer size, in bytes, above which a connection counts as congested.
 _WRITE_HIGH_WATER_BYTES = 262_144
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -73,7 +82,11 @@
 
 
 class ServerState:
-    """State shared by all connections of a server."""
+    """State shared by all connections of a server.
+
+    ``reads`` counts the connections that were accepted and the times that
+    bytes were read.
+    """
 
     __slots__ = (
         'connections',
@@ -81,6 +94,7 @@
         'is_closing',
         'limits',
         'loop',
+        'reads',
         'report_cut_off',
     )
 
@@ -101,6 +115,7 @@
         self.handler = handler
         self.limits = CallerLimits()
         self.is_closing = False
+        self.reads = 0
         self.connections: set[ServerConnection] = set()
 
 
@@ -112,6 +127,7 @@
         '_has_open_request',
         '_is_congested',
         '_has_head_timeout',
+        '_is_overdue',
         '_open_headers',
         '_opened_at',
         '_pipelined',
@@ -141,6 +157,7 @@
         self._has_head_timeout = False
         self._should_close = False
         self._deadline: float = 0
+        self._is_overdue = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_congested = False
         self.on_writable: Callable[[], None] | None = None
@@ -182,6 +199,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(_WRITE_HIGH_WATER_BYTES)
         self._state.connections.add(self)
+        self._state.reads += 1
         self._start_timeout(self._state.limits.idle_seconds)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -203,9 +221,11 @@
 
         :param data: the bytes.
         """
+        self._state.reads += 1
         if not self._reader.is_receiving:
             self._receiving_since = self._state.loop.time()
         self._reader.feed(data)
+        self._dispatch_next()
         if not self._has_open_request:
             self._start_receive_timeout()
 
@@ -225,7 +245,9 @@
     def on_complete_request(self, row: HttpRequest) -> None:
         """Dispatch a complete request, or queue it behind the open one.
 
-        The connection is aborted if too many requests are pipelined.
+        A server that closes queues each request until all bytes read with it
+        are parsed, since the last answer of a connection differs. The
+        connection is aborted if too many requests are pipelined.
 
         :param row: the request.
         """
@@ -235,11 +257,12 @@
             closed = CutOffReason.CONNECTION_CLOSED
             self._report(row.headers, row.received_at, closed)
             return
-        if not self._has_open_request:
+        if not (self._has_open_request or self._state.is_closing):
             self._dispatch(row)
             return
         self._pipelined.append(row)
-        if len(self._pipelined) > _MAX_PIPELINED:
+        unanswered = len(self._pipelined) + self._has_open_request
+        if unanswered > _MAX_UNANSWERED:
             self.report_cut_off(CutOffReason.TOO_MANY_PIPELINED)
             self._transport.abort()
 
@@ -255,7 +278,7 @@
             return
         self._report_unanswered(CutOffReason.REJECTED)
         self._report_partial(CutOffReason.REJECTED)
-        if not self._has_open_request:
+        if not (self._has_open_request or self._pipelined):
             self._should_close = True
             lines = self._response_head(status, ())
             lines.append(b'content-length: 0\r\n\r\n')
@@ -341,6 +364,9 @@
             self._report(self._open_headers, self._opened_at, reason)
         self._report_received(reason)
 
+    def _has_further_request(self) -> bool:
+        return bool(self._pipelined) or self._reader.is_receiving
+
     def _report_received(self, reason: CutOffReason) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -375,10 +401,17 @@
         self._reader.limits = self._state.limits
         self._state.handler.on_request(self, request)
 
+    def _dispatch_next(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._pipelined and not self._has_open_request:
+            self._dispatch(self._pipelined.popleft())
+
     def _response_head(self, status: int, headers: Headers) -> list[bytes]:
         lines = [b'HTTP/1.1 %d %b' % (status, _reason_phrase(status))]
         lines.extend([name + b': ' + content for name, content in headers])
-        if self._state.is_closing:
+        if self._state.is_closing and not self._has_further_request():
             self._should_close = True
         if self._should_close:
             lines.append(b'connection: close')
@@ -393,10 +426,9 @@
             self._report_received(CutOffReason.CONNECTION_CLOSED)
             self._transport.close()
             return
-        if self._pipelined:
-            self._dispatch(self._pipelined.popleft())
-            return
-        self._start_timeout(self._state.limits.idle_seconds)
+        self._dispatch_next()
+        if not self._has_open_request:
+            self._start_timeout(self._state.limits.idle_seconds)
 
     def _write(self, content: bytes) -> None:
         if self._transport is not None:
@@ -424,6 +456,7 @@
         # A timer that fires before the new deadline is kept and rearmed when it
         # fires, because most waits end long before their deadline.
         self._deadline = self._state.loop.time() + seconds
+        self._is_overdue = False
         if self._timer is None or self._timer.when() > self._deadline:
             self._cancel_timer()
             self._set_timer()
@@ -438,6 +471,12 @@
         if self._state.loop.time() < self._deadline:
             self._set_timer()
             return
+        if not self._is_overdue:
+            self._is_overdue = True
+            self._timer = self._state.loop.call_later(
+                _LATE_READ_SECONDS, self._on_timeout
+            )
+            return
         if self._reader.is_receiving:
             self.on_reject(_REQUEST_TIMEOUT)
             return
@@ -493,7 +532,7 @@
         )
 
     def start_closing(self) -> None:
-        """Close each connection after its next response.
+        """Close each connection after the response to what it has received.
 
         Idle connections stay open until they are used or time out.
         """
@@ -502,18 +541,15 @@
     async def stop(self, seconds: float) -> None:
         """Answer the requests that have arrived, then close the server.
 
-        Connections that wait to be accepted are accepted first.
+        Connections that wait to be accepted are accepted first. What waits at
+        the end of the time is still read, and answered if that takes no time.
 
         :param seconds: the longest wait for open requests, in seconds.
         """
         loop = self.state.loop
         self._stops_by = loop.time() + seconds
-        is_busy = True
-        while is_busy and loop.time() < self._stops_by:
-            await asyncio.sleep(_STOP_CHECK_SECONDS)
-            is_busy = any(
-                connection.is_busy for connection in self.state.connections
-            )
+        if not await self._becomes_idle():
+            await self._read_waiting(loop.time() + _LAST_READ_SECONDS)
         for connection in self.state.connections:
             connection.report_cut_off(CutOffReason.PROCESS_ENDS)
         self.close()
@@ -531,3 +567,25 @@
             self._server.close()
         for connection in tuple(self.state.connections):
             connection.close_if_idle()
+
+    async def _becomes_idle(self) -> bool:
+        while self.state.loop.time() < self._stops_by:
+            await asyncio.sleep(_STOP_CHECK_SECONDS)
+            if not (await self._reads_more() or self._is_busy()):
+                return True
+        return False
+
+    async def _read_waiting(self, ends_by: float) -> None:
+        has_read = True
+        while has_read and self.state.loop.time() < ends_by:
+            has_read = await self._reads_more()
+
+    async def _reads_more(self) -> bool:
+        # A timer may run before the event loop reads what has arrived.
+        reads = self.state.reads
+        for _ in range(_READ_ITERATIONS):
+            await asyncio.sleep(0)
+        return self.state.reads != reads
+
+    def _is_busy(self) -> bool:
+        return any(connection.is_busy for connection in self.state.connections)
