Keep the name of the seal's header in the stand-ins, and warm up callers

tests.platform.test_boundary failed on tools/soaking/connections.py. The first disturbance comes after 3 s, when all callers have sent requests, and clinging callers shorten a pause that has begun when their node stops.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -10,6 +10,8 @@
 
 HOST = 'fitting.example'
 HEALTH_PATH = '/health'
+# Header of a backend server's answers that proves where they come from.
+SEAL = b'figlane-response-seal'
 DOMAINS = ('lhr-a', 'lhr-b', 'fsd-a', 'mul-a')
 _REGION = 'pk-punjab'
 _SERVICES = ('fitter-directory', 'deposits', 'tracings', 'bookings')
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -35,7 +35,7 @@
 _RECONNECT_SECONDS = 0.2
 # How much more often clinging callers send while their node stops.
 _STOP_PAUSE_DIVISOR = 5
-_OUT_POLL_SECONDS = 0.1
+_POLL_SECONDS = 0.1
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,15 +100,21 @@
         :param mean_pause: mean time between an answer and the next request.
         """
         while self._loop.time() < ends_at:
-            pause = self._source.expovariate(1 / mean_pause)
-            if self._manner.clings and self._node.state.is_stopping:
-                pause /= _STOP_PAUSE_DIVISOR
-            await asyncio.sleep(pause)
+            await self._pause(self._source.expovariate(1 / mean_pause))
             while not self._may_send() and self._loop.time() < ends_at:
-                await asyncio.sleep(_OUT_POLL_SECONDS)
+                await asyncio.sleep(_POLL_SECONDS)
             await self._request(self._draw_class())
         self._close()
 
+    async def _pause(self, seconds: float) -> None:
+        left = seconds
+        while left > 0:
+            step = min(left, _POLL_SECONDS)
+            await asyncio.sleep(step)
+            if self._manner.clings and self._node.state.is_stopping:
+                step *= _STOP_PAUSE_DIVISOR
+            left -= step
+
     def _may_send(self) -> bool:
         connection = self._connection
         if self._manner.clings and connection and connection.is_open:
--- a/tools/soaking/connections.py
+++ b/tools/soaking/connections.py
@@ -18,10 +18,9 @@
     RETRY_AFTER,
 )
 from figlane.settings import split_address
-from standins.platform_site import HOST, RequestClass
+from standins.platform_site import HOST, SEAL, RequestClass
 from tools.soaking.entities import Answer, RequestEnd, SentRequest
 
-SEAL = b'figlane-response-seal'
 CONNECT_TIMEOUT_SECONDS = 1
 _SLOW_RECEIVE_BUFFER_BYTES = 2048
 _SLOW_READ_PAUSE_SECONDS = 0.2
--- a/tools/soaking/disturbances.py
+++ b/tools/soaking/disturbances.py
@@ -20,7 +20,8 @@
 _STOPPED_PART = 5
 # Until the end of the drain of a node that is stopped at once.
 _LATEST_SLOWDOWN = 5
-_FIRST_SECONDS = 1.0
+# All callers have sent requests by then.
+_FIRST_SECONDS = 3.0
 # Disturbances end early enough that the last grace period ends within the run.
 _LAST_SECONDS = 9.0
 _PAUSE_SECONDS = (0.5, 3.5)
--- a/tools/soaking/servers.py
+++ b/tools/soaking/servers.py
@@ -21,11 +21,11 @@
 from standins.platform_site import (
     CLASS_BY_NAME,
     HEALTH_PATH,
+    SEAL,
     RequestClass,
     draw_size,
 )
 from tools.soaking.connections import (
-    SEAL,
     ClientConnection,
     connect,
     format_seal,
