--- a/tools/soaking/connections.py
+++ b/tools/soaking/connections.py
@@ -18,8 +18,7 @@
     RETRY_AFTER,
 )
 from figlane.settings import split_address
-from standins.platform_backend import SEAL_HEADER
-from standins.platform_site import HOST, RequestClass
+from standins.platform_site import HOST, SEAL, RequestClass
 from tools.soaking.entities import Answer, RequestEnd, SentRequest
 
 CONNECT_TIMEOUT_SECONDS = 1
@@ -257,7 +256,7 @@
     answer.closes = content_by_header.get(b'connection', b'') == b'close'
     with contextlib.suppress(ValueError):
         answer.retry_after = float(content_by_header.get(RETRY_AFTER, b'0'))
-    seal = content_by_header.get(SEAL_HEADER, b'')
+    seal = content_by_header.get(SEAL, b'')
     parts = seal.decode('latin-1').split('.')
     if len(parts) != _SEAL_PARTS:
         return
