Report what runs at the end of every kind of stop

Entry nodes were not told of runs at an exit node whose stop followed an operator's drain, or was ended by a second SIGINT: the runs were given a time limit only when the first drain began. The final answers of callers came 0.15 s after the tick that ends a drain, however late that tick was, while the interface closes their connections at a fixed time.

--- a/src/figlane/systems/calls/stopping.py
+++ b/src/figlane/systems/calls/stopping.py
@@ -87,7 +87,7 @@
     return now < drain.began_at + seconds
 
 
-def end_open_calls(world: World, now: float) -> None:
+def end_open_calls(world: World, drain: NodeDrain, now: float) -> None:
     """End the calls that are open when the drain ends, as far as is possible.
 
     Calls without an open attempt are refused. The other attempts are withdrawn
@@ -95,6 +95,7 @@
     be answered for a short time more; then its outcome is unknown.
 
     :param world: the tables.
+    :param drain: the drain that ends.
     :param now: the present time in seconds.
     """
     for phase in _UNSENT:
@@ -116,10 +117,11 @@
             ),
         )
         withdraw_attempt(world, sent, now)
-        _schedule_final_answer(world, sent, now)
+        _schedule_final_answer(world, sent, drain)
 
 
-def _schedule_final_answer(world: World, call: Call, now: float) -> None:
+def _schedule_final_answer(world: World, call: Call, drain: NodeDrain) -> None:
     # The status of a streamed answer has already been sent.
     if call.id not in world.incoming_streams:
-        world.calls.schedule(call, min(call.due, now + ANSWER_SECONDS))
+        answered_by = drain.ends_by + ANSWER_SECONDS
+        world.calls.schedule(call, min(call.due, answered_by))
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -19,6 +19,7 @@
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
 from figlane.systems.admission.execution import end_execution
+from figlane.systems.admission.stopping import end_runs_with_drain
 from figlane.systems.calls.stopping import ENTRY_GRACE_SECONDS, end_open_calls
 from figlane.systems.links.messages import send_message
 from figlane.systems.membership.rendezvous import live_members
@@ -89,9 +90,11 @@
     world: World, drain: NodeDrain, row: DrainRequested, now: float
 ) -> None:
     drain.stops_process = True
+    drain.accepts_root_calls = row.accepts_root_calls
     drain.ends_by = now + row.seconds
     world.node_drains.move(drain, DrainPhase.DRAINING)
     world.node_drains.schedule(drain, now)
+    end_runs_with_drain(world, now)
 
 
 @inbox_handlers.register(DrainEndRequested)
@@ -109,6 +112,7 @@
         return
     drain.ends_by = min(drain.ends_by, now)
     world.node_drains.schedule(drain, now)
+    end_runs_with_drain(world, now)
 
 
 def _announce_leaving(world: World) -> None:
@@ -170,7 +174,7 @@
         drain.is_reported = True
         world.outbox.append(NodeDrained())
     if now >= drain.ends_by:
-        end_open_calls(world, now)
+        end_open_calls(world, drain, now)
         _refuse_unstarted_executions(world, now)
     else:
         world.node_drains.schedule(drain, drain.ends_by)
