Send no datagram on a socket that has been closed

A node whose link is closed and that ticks once more raised an AttributeError out of the tick: the event loop takes the socket from a closed transport. A process would have to get a second SIGINT in its last moments.

--- a/src/figlane/adapters/datagrams.py
+++ b/src/figlane/adapters/datagrams.py
@@ -57,6 +57,7 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def send(self, row: SendDatagram) -> None:
         """Send a message, dropping member states until it fits the datagram.
