Start no queued call after its exit node's run limit

What callers saw: a call that waited in the queue of an exit node when that node began to stop was started whenever a slot became free, also in the last 0.15 s of the drain, in which no run may end any more. Its server was told of a time limit of 0 s. The call ended as unknown, or with the server's 504, and a call that is not idempotent could not be sent to another server, although it had not run until then.

Cause: the start of a queued call checked the call's deadline only. The run limit, which is the end of the drain less the time reserved for the answer, was applied to the time limit of the run and not to the decision to start it.

Now an execution whose run limit comes from the drain and has passed is refused as draining, for each deadline policy. That promises that the call has not run, and its entry node tries another server.

The test failed before:

self.assertEqual(self._runs_after(first), []) AssertionError: Lists differ: [Run(node='a2', ... timeout=0, ...)] != []

--- a/src/figlane/systems/admission/control.py
+++ b/src/figlane/systems/admission/control.py
@@ -35,7 +35,11 @@
     shed_candidate,
     start_candidate,
 )
-from figlane.systems.admission.stopping import run_limit, schedule_end
+from figlane.systems.admission.stopping import (
+    run_limit,
+    schedule_end,
+    stop_refusal,
+)
 from figlane.systems.registry import Stage, deadline_policies, system
 
 _TOKEN_BYTES = 16
@@ -216,7 +220,9 @@
     now: float,
 ) -> bool:
     check = deadline_policies.find(world.policies.deadline)
-    refusal: Refusal | None = check(world, execution, backend, now)
+    refusal: Refusal | None = stop_refusal(world, execution, 0, now) or check(
+        world, execution, backend, now
+    )
     if refusal is None:
         return True
     end_execution(world, execution, refusal, now)
--- a/src/figlane/systems/admission/stopping.py
+++ b/src/figlane/systems/admission/stopping.py
@@ -6,6 +6,7 @@
 from figlane.entities.node_drain import DRAIN_ID
 from figlane.entities.table import NEVER
 from figlane.entities.world import World
+from figlane.errors import ErrorKind, Refusal
 from figlane.systems.calls.time_limits import ANSWER_SECONDS
 from figlane.systems.registry import leaving_hooks
 
@@ -31,6 +32,26 @@
     return min(execution.deadline, _drain_end(world) - ANSWER_SECONDS)
 
 
+def stop_refusal(
+    world: World, execution: Execution, seconds: float, now: float
+) -> Refusal | None:
+    """Decide whether an execution must not start since its node stops.
+
+    :param world: the tables.
+    :param execution: an execution that is about to run.
+    :param seconds: the time that the backend server needs at least.
+    :param now: the present time in seconds.
+    :return: the refusal, or None if the drain leaves more than that time.
+    """
+    limit = run_limit(world, execution)
+    if limit == execution.deadline or now + seconds < limit:
+        return None
+    return Refusal(
+        ErrorKind.DRAINING,
+        f'the exit node stops, which leaves {max(0, limit - now):.3f} s',
+    )
+
+
 def answered_by(world: World, execution: Execution) -> float:
     """Return until when an answer to an execution is waited for.
 
--- a/tests/systems/admission/test_stopping.py
+++ b/tests/systems/admission/test_stopping.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from figlane.errors import ErrorKind
+from figlane.systems.calls.time_limits import ANSWER_SECONDS
+from tests.simulated_network import Run
 from tests.systems.calls.stopping_case import (
     DRAIN_SECONDS,
     StoppingCase,
@@ -45,23 +47,30 @@
 
     def test_run_that_starts_in_the_drain(self) -> None:
         """A server that starts a queued call is told when its node stops."""
-        for node in _EXIT_NODES:
-            self.server(node).slots = 1
-        calls = [self.network.arrive('POST') for _ in range(4)]
-        self.network.deliver_all()
-        first, _ = self.network.open_runs()
-        self.drain(node=first.node)
+        first = self._drain_with_queue(DRAIN_SECONDS)
         self.advance_to(DRAIN_SECONDS - _QUEUE_SECONDS, first.node)
-        self.network.finish(first, 'answer')
-        started = [
-            run
-            for run in self.network.open_runs()
-            if run.node == first.node and run.row.execution_id in calls
-        ]
+        started = self._runs_after(first)
         self.assertEqual(len(started), 1)
         seconds_left = DRAIN_SECONDS - _QUEUE_SECONDS
         self.assertLess(started[0].row.timeout, seconds_left)
 
+    def test_late_queued_call_runs_elsewhere(self) -> None:
+        """Guards against runs that begin when their node is about to stop.
+
+        Their outcome would be unknown, although they could run elsewhere.
+        """
+        first = self._drain_with_queue(_QUEUE_SECONDS)
+        self.advance_to(ANSWER_SECONDS, first.node)
+        self.assertEqual(self._runs_after(first), [])
+        for node in _EXIT_NODES:
+            self.server(node).slots = len(self.network.method_by_call)
+        self.network.deliver_all()
+        self.assertEqual(self.refusals(), [])
+        nodes = [run.node for run in self.network.open_runs()]
+        self.assertNotIn(first.node, nodes)
+        self.answer_all()
+        self.assertEqual(self.refusals(), [])
+
     def test_operators_drain_ends_no_run(self) -> None:
         """A drain without a stop of the process lets all runs end."""
         call = self.network.arrive('POST')
@@ -70,3 +79,20 @@
         self.advance_to(-1, node)
         self.answer_all()
         self.assertEqual(self.refusals(), [])
+
+    def _drain_with_queue(self, seconds: float) -> Run:
+        # Returns the run of the node that drains.
+        for node in _EXIT_NODES:
+            self.server(node).slots = 1
+        for _ in range(4):
+            self.network.arrive('POST')
+        self.network.deliver_all()
+        first, _ = self.network.open_runs()
+        self.drain(seconds, node=first.node)
+        return first
+
+    def _runs_after(self, first: Run) -> list[Run]:
+        self.network.finish(first, 'answer')
+        return [
+            run for run in self.network.open_runs() if run.node == first.node
+        ]
