--- a/src/figlane/systems/admission/control.py
+++ b/src/figlane/systems/admission/control.py
@@ -35,7 +35,7 @@
     shed_candidate,
     start_candidate,
 )
-from figlane.systems.admission.stopping import (
+from figlane.systems.admission.run_limits import (
     run_limit,
     schedule_end,
     stop_refusal,
--- a/src/figlane/systems/admission/deadline_check.py
+++ b/src/figlane/systems/admission/deadline_check.py
@@ -14,7 +14,7 @@
     calls_within_limit,
     has_limit_token,
 )
-from figlane.systems.admission.stopping import stop_refusal
+from figlane.systems.admission.run_limits import stop_refusal
 from figlane.systems.registry import deadline_policies
 
 # Upper bound on queued executions per slot of the concurrency limit.
--- a/src/figlane/systems/admission/stopping.py
+++ b/src/figlane/systems/admission/run_limits.py
@@ -1,4 +1,4 @@
-"""Ends runs before the process of their exit node ends."""
+"""Time limits of runs whose exit node stops."""
 
 from __future__ import annotations
 
--- a/src/figlane/systems/calls/expiry.py
+++ b/src/figlane/systems/calls/expiry.py
@@ -10,7 +10,7 @@
 from figlane.registry import RunCondition
 from figlane.systems.admission.execution import end_execution
 from figlane.systems.admission.ledger import remove_expired_execution
-from figlane.systems.admission.stopping import answered_by
+from figlane.systems.admission.run_limits import answered_by
 from figlane.systems.calls.lifecycle import cancel_attempt, finish_call
 from figlane.systems.links.handshake import abort_handshake
 from figlane.systems.registry import Stage, system
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -19,7 +19,7 @@
 from figlane.errors import ErrorKind, Refusal
 from figlane.registry import RunCondition
 from figlane.systems.admission.execution import end_execution
-from figlane.systems.admission.stopping import end_runs_with_drain
+from figlane.systems.admission.run_limits import end_runs_with_drain
 from figlane.systems.calls.stopping import ENTRY_GRACE_SECONDS, end_open_calls
 from figlane.systems.links.messages import send_message
 from figlane.systems.membership.rendezvous import live_members
