Compute the end of a stopping node's drain in one place

The end of the drain after which the process exits was read from the drain row in five places, each with its own check that there is a drain and that it stops the process. drain_end() is now used by the limits of calls and runs, the retry hints and the end of open calls. No change of behaviour.

--- a/src/figlane/systems/admission/run_limits.py
+++ b/src/figlane/systems/admission/run_limits.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 from figlane.entities.execution import Execution, ExecutionPhase
-from figlane.entities.node_drain import DRAIN_ID
-from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, Refusal
-from figlane.systems.calls.time_limits import ANSWER_SECONDS
+from figlane.systems.calls.time_limits import ANSWER_SECONDS, drain_end
 from figlane.systems.registry import leaving_hooks
 
 
@@ -29,7 +27,7 @@
     :param execution: an execution that is about to run.
     :return: the time in seconds.
     """
-    return min(execution.deadline, _drain_end(world) - ANSWER_SECONDS)
+    return min(execution.deadline, drain_end(world) - ANSWER_SECONDS)
 
 
 def stop_refusal(
@@ -59,7 +57,7 @@
     :param execution: a running execution.
     :return: the time in seconds; the outcome is unknown from then on.
     """
-    return min(execution.deadline + execution.answer_seconds, _drain_end(world))
+    return min(execution.deadline + execution.answer_seconds, drain_end(world))
 
 
 def schedule_end(world: World, execution: Execution) -> None:
@@ -71,10 +69,3 @@
     ends_at = answered_by(world, execution)
     if ends_at < execution.due:
         world.executions.schedule(execution, ends_at)
-
-
-def _drain_end(world: World) -> float:
-    drain = world.node_drains.get(DRAIN_ID)
-    if drain is None or not drain.stops_process:
-        return NEVER
-    return drain.ends_by
--- a/src/figlane/systems/calls/retry_hints.py
+++ b/src/figlane/systems/calls/retry_hints.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 from figlane.entities.call import Call
-from figlane.entities.node_drain import DRAIN_ID
+from figlane.entities.table import NEVER
 from figlane.entities.world import World
 from figlane.errors import ErrorKind, ExecutionStatus, Refusal
-from figlane.systems.calls.time_limits import time_limit
+from figlane.systems.calls.time_limits import drain_end, time_limit
 
 # Bounds of the retry-after time. Queues drain within half a second; the lower
 # bound is about the duration of one call.
@@ -69,12 +69,10 @@
 def _seconds_until_restart(
     world: World, call: Call, refusal: Refusal, now: float
 ) -> float:
-    drain = world.node_drains.get(DRAIN_ID)
-    if drain is None or not drain.stops_process:
+    ends_at = drain_end(world)
+    if ends_at == NEVER or not _is_refused_by_stop(world, call, refusal):
         return 0
-    if not _is_refused_by_stop(world, call, refusal):
-        return 0
-    return max(0, drain.ends_by - now) + _START_SECONDS
+    return max(0, ends_at - now) + _START_SECONDS
 
 
 def _is_refused_by_stop(world: World, call: Call, refusal: Refusal) -> bool:
--- a/src/figlane/systems/calls/stopping.py
+++ b/src/figlane/systems/calls/stopping.py
@@ -16,7 +16,7 @@
 from figlane.systems.calls.durations import longest_duration
 from figlane.systems.calls.lifecycle import finish_call
 from figlane.systems.calls.queries import withdraw_attempt
-from figlane.systems.calls.time_limits import ANSWER_SECONDS
+from figlane.systems.calls.time_limits import ANSWER_SECONDS, drain_end
 from figlane.systems.registry import Stage, system
 
 # Time for which a leaving node still accepts root calls as entry node.
@@ -44,8 +44,7 @@
     :param world: the tables.
     :param now: the present time in seconds.
     """
-    drain = world.node_drains.get(DRAIN_ID)
-    if drain is None or not drain.stops_process or now < drain.ends_by:
+    if now < drain_end(world):
         return
     for call in world.calls.in_phase(CallPhase.ARRIVED):
         finish_call(world, call, Refusal(ErrorKind.DRAINING))
@@ -68,12 +67,11 @@
         return None
     if not (call.context_token or drain.accepts_root_calls):
         return Refusal(ErrorKind.DRAINING)
-    if not drain.stops_process:
-        return None
     longest = longest_duration(world, call, now)
-    if now + longest <= drain.ends_by:
+    ends_at = drain_end(world)
+    if now + longest <= ends_at:
         return None
-    seconds_left = max(0, drain.ends_by - now)
+    seconds_left = max(0, ends_at - now)
     return Refusal(
         ErrorKind.DRAINING,
         f'the node stops in {seconds_left:.1f} s and calls of this route take '
@@ -87,7 +85,7 @@
     return now < drain.began_at + seconds
 
 
-def end_open_calls(world: World, drain: NodeDrain, now: float) -> None:
+def end_open_calls(world: World, now: float) -> None:
     """End the calls that are open when the drain ends, as far as is possible.
 
     Calls without an open attempt are refused. The other attempts are withdrawn
@@ -95,7 +93,6 @@
     be answered for a short time more; then its outcome is unknown.
 
     :param world: the tables.
-    :param drain: the drain that ends.
     :param now: the present time in seconds.
     """
     for phase in _UNSENT:
@@ -117,11 +114,11 @@
             ),
         )
         withdraw_attempt(world, sent, now)
-        _schedule_final_answer(world, sent, drain)
+        _schedule_final_answer(world, sent)
 
 
-def _schedule_final_answer(world: World, call: Call, drain: NodeDrain) -> None:
+def _schedule_final_answer(world: World, call: Call) -> None:
     # The status of a streamed answer has already been sent.
     if call.id not in world.incoming_streams:
-        answered_by = drain.ends_by + ANSWER_SECONDS
+        answered_by = drain_end(world) + ANSWER_SECONDS
         world.calls.schedule(call, min(call.due, answered_by))
--- a/src/figlane/systems/calls/time_limits.py
+++ b/src/figlane/systems/calls/time_limits.py
@@ -9,6 +9,7 @@
 
 from figlane.entities.call import Call
 from figlane.entities.node_drain import DRAIN_ID
+from figlane.entities.table import NEVER
 from figlane.entities.world import World
 
 # Time after the drain in which answers of exit nodes are still accepted. The
@@ -16,6 +17,18 @@
 ANSWER_SECONDS = 0.15
 
 
+def drain_end(world: World) -> float:
+    """Return when the drain ends after which the process of this node exits.
+
+    :param world: the tables.
+    :return: the time in seconds; never if the process goes on.
+    """
+    drain = world.node_drains.get(DRAIN_ID)
+    if drain is None or not drain.stops_process:
+        return NEVER
+    return drain.ends_by
+
+
 def time_limit(world: World, call: Call) -> float:
     """Return when an attempt that is sent now ends at the latest.
 
@@ -24,10 +37,7 @@
     :return: the time in seconds: the call's deadline, or the end of the drain
         if the process stops before.
     """
-    drain = world.node_drains.get(DRAIN_ID)
-    if drain is None or not drain.stops_process:
-        return call.deadline
-    return min(call.deadline, drain.ends_by)
+    return min(call.deadline, drain_end(world))
 
 
 def answer_seconds(world: World, call: Call) -> float:
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -174,7 +174,7 @@
         drain.is_reported = True
         world.outbox.append(NodeDrained())
     if now >= drain.ends_by:
-        end_open_calls(world, drain, now)
+        end_open_calls(world, now)
         _refuse_unstarted_executions(world, now)
     else:
         world.node_drains.schedule(drain, drain.ends_by)
