--- a/tests/adapters/test_http_server_pause.py
+++ b/tests/adapters/test_http_server_pause.py
@@ -9,14 +9,11 @@
 
 import uvloop
 
-from figlane.adapters.http_callback_server import (
-    CallbackHttpServer,
-    ServerConnection,
-)
-from figlane.adapters.request_reader import HttpRequest
+from figlane.adapters.http_callback_server import CallbackHttpServer
 from figlane.entities.ingress import CallerLimits
 from figlane.settings import split_address
 from standins.addresses import reserve_addresses
+from tests.adapters.empty_answers import EmptyAnswers
 
 _LIMITS = CallerLimits(head_seconds=0.2, idle_seconds=0.2)
 _PAUSE_SECONDS = 0.3
@@ -24,28 +21,6 @@
 # Length of the request line.
 _LINE_BYTES = 16
 _ANSWER_BYTES = 1000
-_OK = 200
-
-
-class EmptyAnswers:
-    """Handler that answers each request at once."""
-
-    def on_request(
-        self, connection: ServerConnection, request: HttpRequest
-    ) -> None:
-        """Answer a request.
-
-        :param connection: the connection.
-        :param request: the request.
-        """
-        loop = asyncio.get_running_loop()
-        loop.call_soon(connection.respond, _OK, ())
-
-    def on_disconnect(self, connection: ServerConnection) -> None:
-        """Ignore a caller that disconnects.
-
-        :param connection: the connection.
-        """
 
 
 class PauseInRead(asyncio.Protocol):
--- a/tests/adapters/test_http_server_stop.py
+++ b/tests/adapters/test_http_server_stop.py
@@ -9,13 +9,10 @@
 
 import uvloop
 
-from figlane.adapters.http_callback_server import (
-    CallbackHttpServer,
-    ServerConnection,
-)
-from figlane.adapters.request_reader import HttpRequest
+from figlane.adapters.http_callback_server import CallbackHttpServer
 from figlane.settings import split_address
 from standins.addresses import reserve_addresses
+from tests.adapters.empty_answers import EmptyAnswers
 
 _CONNECTIONS = 20
 # Time for which the event loop is blocked, in seconds.
@@ -24,28 +21,6 @@
 _READ_SECONDS = 0.05
 _ANSWER_BYTES = 1000
 _REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
-_OK = 200
-
-
-class EmptyAnswers:
-    """Handler that answers each request at once."""
-
-    def on_request(
-        self, connection: ServerConnection, request: HttpRequest
-    ) -> None:
-        """Answer a request.
-
-        :param connection: the connection.
-        :param request: the request.
-        """
-        loop = asyncio.get_running_loop()
-        loop.call_soon(connection.respond, _OK, ())
-
-    def on_disconnect(self, connection: ServerConnection) -> None:
-        """Ignore a caller that disconnects.
-
-        :param connection: the connection.
-        """
 
 
 class ServerStopTest(TestCase):
