Answer what arrives while a stopping server closes its sockets

Callers that connected, or sent a request on an open connection, just as a process closed its sockets saw the connection reset or closed without an answer.

`CallbackHttpServer.stop` closed the listening socket and all idle connections in one step. The kernel resets what waits in the accept queue and connections with unread bytes; connections that had been accepted in the last iteration of the event loop were never read. The new tests failed before: test_connection_queued_at_close_is_answered with "TimeoutError: timed out" (no answer), test_request_after_the_close_is_answered with "b'connection: close' not found in b''", test_last_request_is_refused_as_not_run with an empty answer in place of "HTTP/1.1 503".

The stop now closes the listening socket through a copy of it, from which all that waits is accepted first. Then requests on open connections are answered for 0.1 s, or until all connections are closed. Before that the interface ends the drain, so that a node that stops early refuses these requests as not run in place of passing them on. Ending a drain that has ended already changes nothing; it would log the open calls twice.

The part of the grace period for the last answers ends 0.05 s earlier and the last reading takes up to 0.1 s in place of 0.05 s, so that the sockets close at the same time as before at the latest; the drain ends when it did.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import http
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -32,8 +34,9 @@
 # Time within which the event loop reads what has arrived before a time-out, in
 # seconds. After a pause of the process, timers run first.
 _LATE_READ_SECONDS = 0.01
-# Longest time for which a stop that is over reads what waits, in seconds.
-_LAST_READ_SECONDS = 0.05
+# Time for which a server that has closed its listening socket still answers, in
+# seconds.
+_LAST_READ_SECONDS = 0.1
 # Write buffer size, in bytes, above which a connection counts as congested.
 _WRITE_HIGH_WATER_BYTES = 262_144
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -81,6 +84,10 @@
     """Report nothing, for servers whose requests need no log line."""
 
 
+def _refuse_nothing() -> None:
+    """Change nothing, for servers that answer until they are closed."""
+
+
 class ServerState:
     """State shared by all connections of a server.
 
@@ -496,6 +503,14 @@
         return b'Status'
 
 
+def _accept_all(listener: socket.socket) -> list[socket.socket]:
+    accepted = []
+    with listener, contextlib.suppress(OSError):
+        for connection, _ in iter(listener.accept, None):
+            accepted.append(connection)
+    return accepted
+
+
 class CallbackHttpServer:
     """HTTP server: a listening socket and its connections."""
 
@@ -524,7 +539,7 @@
         :param port: TCP port.
         """
         self._server = await self.state.loop.create_server(
-            lambda: ServerConnection(self.state),
+            self._new_connection,
             host,
             port,
             backlog=_BACKLOG,
@@ -538,18 +553,26 @@
         """
         self.state.is_closing = True
 
-    async def stop(self, seconds: float) -> None:
+    async def stop(
+        self,
+        seconds: float,
+        start_refusing: Callable[[], None] = _refuse_nothing,
+    ) -> None:
         """Answer the requests that have arrived, then close the server.
 
-        Connections that wait to be accepted are accepted first. What waits at
-        the end of the time is still read, and answered if that takes no time.
+        Connections that wait to be accepted are accepted first. For a short
+        time after that, requests on open connections are still answered.
 
         :param seconds: the longest wait for open requests, in seconds.
+        :param start_refusing: called before the listening socket closes; the
+            handler refuses requests from then on.
         """
         loop = self.state.loop
         self._stops_by = loop.time() + seconds
-        if not await self._becomes_idle():
-            await self._read_waiting(loop.time() + _LAST_READ_SECONDS)
+        await self._become_idle()
+        start_refusing()
+        await self._stop_listening()
+        await self._answer_last(loop.time() + _LAST_READ_SECONDS)
         for connection in self.state.connections:
             connection.report_cut_off(CutOffReason.PROCESS_ENDS)
         self.close()
@@ -568,17 +591,32 @@
         for connection in tuple(self.state.connections):
             connection.close_if_idle()
 
-    async def _becomes_idle(self) -> bool:
+    def _new_connection(self) -> ServerConnection:
+        return ServerConnection(self.state)
+
+    async def _become_idle(self) -> None:
         while self.state.loop.time() < self._stops_by:
             await asyncio.sleep(_STOP_CHECK_SECONDS)
             if not (await self._reads_more() or self._is_busy()):
-                return True
-        return False
+                return
 
-    async def _read_waiting(self, ends_by: float) -> None:
-        has_read = True
-        while has_read and self.state.loop.time() < ends_by:
-            has_read = await self._reads_more()
+    async def _stop_listening(self) -> None:
+        if self._server is None:
+            return
+        # The kernel resets what waits when the last copy of a socket closes.
+        listeners = [listener.dup() for listener in self._server.sockets]
+        self._server.close()
+        accepted = [row for each in listeners for row in _accept_all(each)]
+        for connection in accepted:
+            await self.state.loop.connect_accepted_socket(
+                self._new_connection, connection
+            )
+
+    async def _answer_last(self, ends_by: float) -> None:
+        while await self._reads_more() or self.state.connections:
+            if self.state.loop.time() >= ends_by:
+                return
+            await asyncio.sleep(_STOP_CHECK_SECONDS)
 
     async def _reads_more(self) -> bool:
         # A timer may run before the event loop reads what has arrived.
--- a/src/figlane/platform/interface.py
+++ b/src/figlane/platform/interface.py
@@ -9,6 +9,7 @@
 from figlane.entities.ingress import ApplyCallerLimits
 from figlane.entities.kind_feed import CheckStore, ReadKind, WatchKind
 from figlane.entities.node_drain import (
+    DrainEndRequested,
     DrainRequested,
     NodeDraining,
 )
@@ -36,8 +37,8 @@
 # Parts of the grace period, in seconds: the last one is reserved for the end of
 # the process, and the one before it for the answers that are left after the
 # drain.
-_EXIT_SECONDS = 0.4
-_LAST_ANSWERS_SECONDS = 0.2
+_EXIT_SECONDS = 0.45
+_LAST_ANSWERS_SECONDS = 0.15
 
 
 class PlatformInterface:
@@ -136,7 +137,9 @@
         Callers that read slowly are waited for within the grace period.
         """
         seconds_left = self._stops_by - self._loop.time()
-        await self._entry_server.stop(max(_LAST_ANSWERS_SECONDS, seconds_left))
+        await self._entry_server.stop(
+            max(_LAST_ANSWERS_SECONDS, seconds_left), self._end_drain
+        )
         for server, _ in self._servers:
             server.close()
         self._metrics_server.close()
@@ -169,6 +172,9 @@
         self._stops_by = self._loop.time()
         self._entry_server.shorten_stop(_LAST_ANSWERS_SECONDS)
 
+    def _end_drain(self) -> None:
+        self._deliver(DrainEndRequested())
+
     def _begin_closing(self, row: NodeDraining) -> None:
         self._entry_server.start_closing()
 
--- a/src/figlane/systems/membership/leaving.py
+++ b/src/figlane/systems/membership/leaving.py
@@ -103,14 +103,16 @@
 ) -> None:
     """End the drain of a node that stops as if its time limit had passed.
 
+    A drain whose time limit has passed is ended already.
+
     :param world: the tables.
     :param row: the request.
     :param now: the present time in seconds.
     """
     drain = world.node_drains.get(DRAIN_ID)
-    if drain is None or not drain.stops_process:
+    if drain is None or not drain.stops_process or drain.ends_by <= now:
         return
-    drain.ends_by = min(drain.ends_by, now)
+    drain.ends_by = now
     world.node_drains.schedule(drain, now)
     end_runs_with_drain(world, now)
 
--- a/tests/adapters/test_http_server_stop.py
+++ b/tests/adapters/test_http_server_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from unittest import TestCase
@@ -22,6 +23,10 @@
 _LATE_SECONDS = 0.1
 # Time within which a connection is accepted and read, in seconds.
 _READ_SECONDS = 0.05
+# Time between two attempts to connect, in seconds.
+_POLL_SECONDS = 0.005
+# Longest wait for an answer, in seconds.
+_WAIT_SECONDS = 1
 _ANSWER_BYTES = 1000
 _REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 _OK = 200
@@ -48,6 +53,17 @@
         """
 
 
+async def wait_until_refused(address: tuple[str, int]) -> None:
+    """Wait until nothing listens on an address.
+
+    :param address: host and port.
+    """
+    with contextlib.suppress(ConnectionRefusedError):
+        while True:
+            socket.create_connection(address).close()
+            await asyncio.sleep(_POLL_SECONDS)
+
+
 class ServerStopTest(TestCase):
     """Callers that connect while the server stops."""
 
@@ -63,6 +79,53 @@
         """Guards against a reset of what has arrived when the time is over."""
         uvloop.run(self._stop_late(_LATE_SECONDS / 2, _REQUEST[:1]))
 
+    def test_connection_queued_at_close_is_answered(self) -> None:
+        """Guards against a reset of what waits as the listening socket closes.
+
+        A caller connects in each iteration of the event loop.
+        """
+        uvloop.run(self._connect_until_closed())
+
+    def test_request_after_the_close_is_answered(self) -> None:
+        """Guards against a reset of requests on connections that are open."""
+        uvloop.run(self._send_after_close())
+
+    async def _connect_until_closed(self) -> None:
+        loop = asyncio.get_running_loop()
+        server = CallbackHttpServer(loop, EmptyAnswers())
+        address = split_address(reserve_addresses(1)[0])
+        await server.start(*address)
+        connections: list[socket.socket] = []
+
+        def connect() -> None:
+            with contextlib.suppress(ConnectionRefusedError):
+                connection = socket.create_connection(address, _WAIT_SECONDS)
+                connections.append(self.enterContext(connection))
+                connection.sendall(_REQUEST)
+                loop.call_soon(connect)
+
+        connect()
+        server.start_closing()
+        await server.stop(0)
+        self.assertTrue(connections)
+        for answered in connections:
+            self.assertIn(b' 200 ', answered.recv(_ANSWER_BYTES))
+
+    async def _send_after_close(self) -> None:
+        server = CallbackHttpServer(asyncio.get_running_loop(), EmptyAnswers())
+        address = split_address(reserve_addresses(1)[0])
+        await server.start(*address)
+        kept = self.enterContext(
+            socket.create_connection(address, _WAIT_SECONDS)
+        )
+        await asyncio.sleep(_READ_SECONDS)
+        server.start_closing()
+        stopping = asyncio.create_task(server.stop(1))
+        await wait_until_refused(address)
+        kept.sendall(_REQUEST)
+        await stopping
+        self.assertIn(b'connection: close', kept.recv(_ANSWER_BYTES))
+
     async def _stop_late(self, seconds: float, received: bytes = b'') -> None:
         loop = asyncio.get_running_loop()
         server = CallbackHttpServer(loop, EmptyAnswers())
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -14,6 +14,7 @@
 from figlane.entities.http import Answer
 from figlane.settings import split_address
 from standins.platform_fleet import API_KEY, HOST
+from tests.adapters.test_http_server_stop import wait_until_refused
 from tests.platform.test_node import FleetTestCase
 
 _GRACE_SECONDS = 4.0
@@ -69,6 +70,14 @@
     return _SLOWDOWN * _draw_fast()
 
 
+def _request(request_id: bytes) -> bytes:
+    return (
+        b'GET /read/a HTTP/1.1\r\nhost: %b\r\n'
+        b'figlane-request-id: %b\r\napi-key: %b\r\n\r\n'
+        % (HOST.encode(), request_id, API_KEY)
+    )
+
+
 class PlannedStopTest(FleetTestCase):
     """The node of the callers stops; their requests run at other VMs."""
 
@@ -165,6 +174,24 @@
         self.assertGreater(seconds, _ENTRY_GRACE_SECONDS)
         self.assertLess(seconds, _GRACE_SECONDS - 1)
 
+    async def test_last_request_is_refused_as_not_run(self) -> None:
+        """Guards against requests that are cut off as the sockets close.
+
+        The node is idle and stops early; the request is sent once nothing
+        listens any more.
+        """
+        address = split_address(self.caller_vm.entry)
+        reader, writer = await asyncio.open_connection(*address)
+        self.caller_vm.node.stop()
+        await wait_until_refused(address)
+        writer.write(_request(b'last'))
+        answer = await reader.read()
+        writer.close()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503 '), answer)
+        for text in (b'"outcome":"not-run"', b'retry-after', b'connection: cl'):
+            self.assertIn(text, answer)
+        self.assertEqual(self.execution_count(), 0)
+
     async def test_stop_before_the_start(self) -> None:
         """A node that is told to stop before it has started ends."""
         for title in ('stop', 'stop_now'):
@@ -292,11 +319,7 @@
         reader, writer = await asyncio.open_connection(
             sock=connection, limit=_WINDOW_BYTES
         )
-        writer.write(
-            b'GET /read/a HTTP/1.1\r\nhost: %b\r\n'
-            b'figlane-request-id: slow\r\napi-key: %b\r\n\r\n'
-            % (HOST.encode(), API_KEY)
-        )
+        writer.write(_request(b'slow'))
         received = len(await reader.read(_SEGMENT_BYTES))
         await asyncio.sleep(_SLOW_SECONDS)
         self.assertFalse(self.caller_vm.task.done())
