--- a/tests/systems/membership/test_leaving.py
+++ b/tests/systems/membership/test_leaving.py
@@ -71,16 +71,20 @@
 
         The tick that ends the drain is late.
         """
-        call = Call('open', 's', Request('GET', '/', ()), self.now)
-        call.phase = CallPhase.SENT
-        call.node_id = 'other'
-        call.deadline = self.now + 2 * _DRAIN_SECONDS
-        self.world.calls.insert(call)
-        self.world.calls.schedule(call, call.deadline)
+        call = self._add_sent_call()
         drain_ends_at = self.now + _DRAIN_SECONDS
         run_tick(self.world, drain_ends_at + 0.1)
         self.assertLessEqual(call.due, drain_ends_at + ANSWER_SECONDS)
 
+    def test_end_on_request_after_the_end(self) -> None:
+        """Guards against open calls that are logged twice."""
+        self._add_sent_call()
+        drain_ends_at = self.now + _DRAIN_SECONDS
+        run_tick(self.world, drain_ends_at)
+        self.world.inbox.append(DrainEndRequested())
+        run_tick(self.world, drain_ends_at + ANSWER_SECONDS / 2)
+        self.assertEqual(self.world.counters['call.open-after-drain'], 1)
+
     def test_end_of_the_drain_on_request(self) -> None:
         """A drain that is ended on request refuses the calls that wait."""
         call = Call('waiting', 's', Request('GET', '/', ()), self.now)
@@ -95,6 +99,15 @@
         ]
         self.assertIs(answers[0].outcome.kind, ErrorKind.DRAINING)
 
+    def _add_sent_call(self) -> Call:
+        call = Call('open', 's', Request('GET', '/', ()), self.now)
+        call.phase = CallPhase.SENT
+        call.node_id = 'other'
+        call.deadline = self.now + 2 * _DRAIN_SECONDS
+        self.world.calls.insert(call)
+        self.world.calls.schedule(call, call.deadline)
+        return call
+
     def _request_drain(self, *, stops_process: bool) -> None:
         self.world.inbox.append(
             DrainRequested(_DRAIN_SECONDS, stops_process=stops_process)
