Answer whole requests before malformed bytes when a server closes

Callers that send a whole request and malformed bytes in one read got no answer from a node that stops; the request had not been passed on.

Since a server that closes queues the requests of a read until all of it is parsed. A rejection behind them closed the connection with the queue. test_stop_answers_before_a_rejection failed with "0 != 2" answers, and test_stop_closes_behind_a_rejection, for an open answer, with "False is not true" as the answer was cut off.

While the server closes, a rejection now ends the connection with the last of the requests before it: that request, or the open one, counts as one that closes. The rejected request is reported as before. A rejected request counts as received no more, so that it is neither waited for nor reported twice.

A server that does not close still cuts off the open request, as test_cut_off_by_a_rejection requires.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -276,16 +276,25 @@
     def on_reject(self, status: int) -> None:
         """Close the connection after an invalid or slow request.
 
-        The status is sent unless a response to an earlier request is open.
+        The status is sent unless a response to an earlier request is open. A
+        server that closes answers the whole requests before it first.
 
         :param status: HTTP status code of the error.
         """
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        has_unanswered = self._has_open_request or bool(self._pipelined)
+        if self._state.is_closing and has_unanswered:
+            self._report_partial(CutOffReason.REJECTED)
+            if self._pipelined:
+                self._pipelined[-1].closes = True
+            else:
+                self._should_close = True
+            return
         self._report_unanswered(CutOffReason.REJECTED)
         self._report_partial(CutOffReason.REJECTED)
-        if not (self._has_open_request or self._pipelined):
+        if not has_unanswered:
             self._should_close = True
             lines = self._response_head(status, ())
             lines.append(b'content-length: 0\r\n\r\n')
--- a/src/figlane/adapters/request_reader.py
+++ b/src/figlane/adapters/request_reader.py
@@ -99,9 +99,10 @@
     def is_receiving(self) -> bool:
         """Whether a request has been received in part.
 
-        :return: True from its first byte to its last one.
+        :return: True from its first byte to its last one, or its rejection.
         """
-        return self.is_in_head or self.is_in_body
+        is_partial = self.is_in_head or self.is_in_body
+        return is_partial and not self._is_rejected
 
     @property
     def received_headers(self) -> Headers:
--- a/tests/adapters/test_http_callback_server.py
+++ b/tests/adapters/test_http_callback_server.py
@@ -297,6 +297,31 @@
             ],
         )
 
+    async def test_stop_answers_before_a_rejection(self) -> None:
+        """Guards against whole requests dropped for bytes behind them."""
+        self.delay = 0.02
+        self.server.start_closing()
+        self.writer.write(_NAMED_A + _NAMED_B + b'GET /c HTTP/1.1\r\n\x00\r\n')
+        answers = await self.reader.read()
+        self.assertEqual(answers.count(b'HTTP/1.1 200 '), 2)
+        self.assertEqual(answers.count(b'connection: close'), 1)
+        self.assertEqual(self._reported(), [(b'', CutOffReason.REJECTED, True)])
+
+    async def test_stop_closes_behind_a_rejection(self) -> None:
+        """Guards against a connection that stays open and reads no more."""
+        self.delay = 5
+        self.writer.write(_NAMED_A)
+        await _wait()
+        connection = next(iter(self.server.state.connections))
+        connection.begin_chunks(200, ())
+        self.server.start_closing()
+        self.writer.write(b'\x00')
+        await _wait()
+        connection.end_chunks()
+        async with asyncio.timeout(1):
+            answer = await self.reader.read()
+        self.assertTrue(answer.endswith(b'0\r\n\r\n'))
+
     async def test_cut_off_by_a_timeout(self) -> None:
         """A request that is not completed in time is reported."""
         self.writer.write(_HALF)
