Answer pipelined requests when a node with figlane's interface drains

Callers of figlane's own interface that pipeline saw their connection closed behind the first answer of a draining node; requests that it had read behind that one got none.

The drain adds "connection: close" to each answer, and uvicorn closes the connection with it, whatever waits in its queue. The new test failed with "IndexError: list index out of range", as the second request never became a call.

The header is now left out while further requests of the connection wait in the queue; the last of them gets it.

Remains: headers of a request that are received in part when the server stops.

--- a/src/figlane/adapters/http_drain.py
+++ b/src/figlane/adapters/http_drain.py
@@ -8,6 +8,7 @@
 import msgspec
 from blacksheep import Application, Content, Request, Response
 
+from figlane.adapters.http_protocol import SCOPE_KEY
 from figlane.adapters.http_server import as_handler
 from figlane.entities.node_drain import DrainRequested, NodeDraining
 
@@ -60,7 +61,7 @@
         self._deliver(DrainRequested(seconds, stops_process))
 
     def start_closing(self, row: NodeDraining) -> None:
-        """Close each connection after its next response.
+        """Close each connection after the response to what it has received.
 
         :param row: notice that the node is draining.
         """
@@ -73,11 +74,13 @@
     ) -> Response:
         """Add ``connection: close`` to the responses of a draining node.
 
+        Requests that were received behind this one are answered first.
+
         :param request: the request.
         :param handler: next handler of the middleware chain.
         :return: the handler's response.
         """
         response = await handler(request)
-        if self._is_draining:
+        if self._is_draining and not request.scope[SCOPE_KEY].pipeline:
             response.headers.add(b'connection', b'close')
         return response
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -6,11 +6,16 @@
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
+from blacksheep import Application
+from blacksheep.server.routing import Router
+
+from figlane.adapters.http_drain import HttpDrain
 from figlane.adapters.http_entry import HttpEntry
 from figlane.adapters.http_server import HttpServer
 from figlane.entities.cut_off import CutOffReason, RequestCutOff
 from figlane.entities.http import Answer
 from figlane.entities.inbox import CallArrived
+from figlane.entities.node_drain import NodeDraining
 from figlane.entities.outbox import AnswerCaller, StartCallerStream
 from figlane.errors import ErrorKind, Refusal
 from figlane.settings import split_address
@@ -27,8 +32,12 @@
         self.cut_offs: list[RequestCutOff] = []
         self.call_ids: list[str] = []
         self.entry = HttpEntry(self._deliver)
+        application = self.entry.application
+        self.drain = HttpDrain(
+            application, Application(router=Router()), 1, self._deliver
+        )
         self.server = HttpServer(
-            self.entry.application,
+            application,
             '127.0.0.1:0',
             grace_seconds=1,
             report_cut_off=self.cut_offs.append,
@@ -50,6 +59,19 @@
         await self._stop()
         self.assertEqual(self.cut_offs, [])
 
+    async def test_drain_answers_pipelined_requests(self) -> None:
+        """Guards against closing behind the first of several requests."""
+        self.drain.start_closing(NodeDraining())
+        await self._send(_GET * 3)
+        answer = Answer(200, (), b'whole')
+        for number in range(3):
+            self.entry.answer(AnswerCaller(self.call_ids[number], answer))
+            await asyncio.sleep(0.1)
+        answers = await self.reader.read()
+        self.assertEqual(answers.count(b'HTTP/1.1 200 '), 3)
+        self.assertEqual(answers.count(b'connection: close'), 1)
+        self.assertEqual(self.cut_offs, [])
+
     async def test_open_at_an_immediate_end(self) -> None:
         """A request that a server does not wait for is reported and closed."""
         await self._send(_GET)
