Await half received headers when a server of figlane's interface stops

Callers of figlane's own interface whose request was received in part when a node stopped saw their connection closed without an answer.

`CallerProtocol.shutdown` counted a connection with incomplete headers as idle and closed it. The new test failed with "IndexError: list index out of range": the rest of the request never became a call.

The connection now stays open for at most 1 s until the request is complete, and closes with its answer. A request that is not complete by then is reported as cut off by the end of the process, as before, so that a stalled caller delays the end by no more than that.

--- a/src/figlane/adapters/http_protocol.py
+++ b/src/figlane/adapters/http_protocol.py
@@ -18,6 +18,9 @@
 # Time-out for receiving a complete request, in seconds. It also limits the wait
 # for the first request of a connection.
 RECEIVE_TIMEOUT_SECONDS = 30.0
+# Time within which a request is received whose headers a stop finds incomplete,
+# in seconds.
+_LAST_RECEIVE_SECONDS = 1.0
 
 _HEAD_TOO_LARGE = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
@@ -61,6 +64,7 @@
         self._is_receiving = False
         self._head_bytes = 0
         self._is_in_head = False
+        self._is_last = False
         self._receive_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -110,8 +114,18 @@
             self._report_partial(reason)
 
     def shutdown(self) -> None:
-        """Close the connection, or let it close after the open response."""
+        """Close the connection, or let it close after the open response.
+
+        A request whose headers have been received in part is awaited shortly.
+        """
         is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and self._is_in_head:
+            self._is_last = True
+            self._cancel_timer()
+            self._receive_timer = self.loop.call_later(
+                _LAST_RECEIVE_SECONDS, self._abort_last_request
+            )
+            return
         if is_idle and self._is_receiving:
             self._report_partial(CutOffReason.PROCESS_ENDS)
         super().shutdown()
@@ -148,6 +162,8 @@
         """Stop counting header bytes."""
         self._is_in_head = False
         super().on_headers_complete()
+        if self._is_last:
+            self.cycle.keep_alive = False
 
     def on_message_complete(self) -> None:
         """Stop the receive time-out after a complete request."""
@@ -188,6 +204,10 @@
         self._report_rejected()
         self.transport.abort()
 
+    def _abort_last_request(self) -> None:
+        self.report_cut_off(CutOffReason.PROCESS_ENDS)
+        self.transport.abort()
+
     def _start_timer(self) -> None:
         if self._receive_timer is None:
             self._receive_timer = self.loop.call_later(
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -92,6 +92,18 @@
             self._reported(), [('', CutOffReason.PROCESS_ENDS, True)]
         )
 
+    async def test_stop_awaits_half_received_headers(self) -> None:
+        """Guards against a stop that closes while a request arrives."""
+        await self._send(_GET[:-2])
+        self.server.stop()
+        await asyncio.sleep(0.2)
+        await self._send(_GET[-2:])
+        answer = Answer(200, (), b'whole')
+        self.entry.answer(AnswerCaller(self.call_ids[0], answer))
+        self.assertIn(b'connection: close', await self.reader.read())
+        await self.task
+        self.assertEqual(self.cut_offs, [])
+
     async def test_slow_request(self) -> None:
         """A request that is not complete in time is reported."""
         with patch(
