Log and count each claim and release of a bucket

No line told who had handed the bucket over, with how many tokens, or that a claim had gone to a member that did not hold it; only unanswered claims were counted.

The claimant now logs the end of each claim (bucket_claimed) and the member that it asked logs the release (bucket_released), each with the other member, the tokens and the seconds since the last refill, and both count it. There are two lines for each change of owner.

--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -80,7 +80,8 @@
     ``created_at`` is when this node began to fill it without knowing the
     previous owner's level, ``-NEVER`` if that level was received.
     ``waiting_requests`` holds the requests, by requester, that arrived during a
-    claim. ``released_to`` is the member that the bucket was released to at
+    claim. ``claimed_from`` is the member that was asked to release the bucket.
+    ``released_to`` is the member that the bucket was released to at
     ``released_at``.
 
     While the owner is silent, its successor charges calls to a second, smaller
@@ -96,6 +97,7 @@
     waiting_requests: list[tuple[str, ChargeRequest]] = field(
         default_factory=list
     )
+    claimed_from: str = ''
     released_to: str = ''
     released_at: float = -NEVER
     fallback_level: float = 0
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -12,6 +12,7 @@
 from figlane.entities.charge import OwnedBucket, OwnedBucketPhase
 from figlane.entities.inbox import PeerMessage
 from figlane.entities.member import MemberPhase
+from figlane.entities.outbox import LogDecision
 from figlane.entities.quota_messages import (
     BucketClaim,
     BucketRelease,
@@ -39,6 +40,8 @@
 # Time after a release for which requests are sent on to the new owner, of which
 # this node may not have heard yet.
 _RELEASED_SECONDS = 5.0
+# Tokens and seconds in log events are rounded to three decimals.
+_DECIMALS = 3
 
 
 @peer_handlers.register(ChargeRequest)
@@ -81,6 +84,7 @@
     claim: BucketClaim = row.message
     bucket = find_bucket(world, claim.organisation_id, now)
     was_owner = bucket.phase is OwnedBucketPhase.OWNED
+    _log_release(world, bucket, row.sender, now)
     refill(world, bucket, now)
     release = BucketRelease(claim.organisation_id, bucket.level, was_owner)
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
@@ -116,6 +120,8 @@
         # latest start.
         bucket.refilled_at = min(now, world.started_at)
         bucket.created_at = bucket.refilled_at
+    outcome = 'released' if release.was_owner else 'not-owner'
+    _log_claim(world, bucket, outcome, now)
     _start_serving(world, bucket, now)
 
 
@@ -128,7 +134,7 @@
     """
     for bucket in world.quota.owned_buckets.pop_due(now):
         if bucket.phase is OwnedBucketPhase.CLAIMING:
-            world.counters['quota.claim.unanswered'] += 1
+            _log_claim(world, bucket, 'unanswered', now)
             _start_serving(world, bucket, now)
 
 
@@ -151,16 +157,54 @@
     bucket.refilled_at = now
     bucket.created_at = now
     bucket.released_to = ''
-    previous = previous_owner_of(world, bucket.id)
-    if not previous:
+    bucket.claimed_from = previous_owner_of(world, bucket.id)
+    if not bucket.claimed_from:
         bucket.refilled_at = min(now, world.started_at)
         bucket.created_at = bucket.refilled_at
+        _log_claim(world, bucket, 'alone', now)
         _start_serving(world, bucket, now)
         return
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.CLAIMING)
     due = now + _CLAIM_TIMEOUT_SECONDS
     world.quota.owned_buckets.schedule(bucket, due)
-    send_message(world, previous, BucketClaim(bucket.id))
+    send_message(world, bucket.claimed_from, BucketClaim(bucket.id))
+
+
+def _log_claim(
+    world: World, bucket: OwnedBucket, outcome: str, now: float
+) -> None:
+    world.counters[f'quota.claim.{outcome}'] += 1
+    world.outbox.append(
+        LogDecision(
+            'bucket_claimed',
+            {
+                'organisation': bucket.id,
+                'previous': bucket.claimed_from,
+                'outcome': outcome,
+                'tokens': round(bucket.level, _DECIMALS),
+                'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
+            },
+        ),
+    )
+
+
+def _log_release(
+    world: World, bucket: OwnedBucket, claimant: str, now: float
+) -> None:
+    was_owner = bucket.phase is OwnedBucketPhase.OWNED
+    world.counters[f'quota.release.{"owner" if was_owner else "other"}'] += 1
+    world.outbox.append(
+        LogDecision(
+            'bucket_released',
+            {
+                'organisation': bucket.id,
+                'claimant': claimant,
+                'was_owner': was_owner,
+                'tokens': round(bucket.level, _DECIMALS),
+                'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
+            },
+        ),
+    )
 
 
 def _start_serving(world: World, bucket: OwnedBucket, now: float) -> None:
--- a/src/figlane/telemetry/names.py
+++ b/src/figlane/telemetry/names.py
@@ -116,7 +116,10 @@
     ),
     _counter('ramp.lowered', 'reductions of the cold-start concurrency ramp'),
     _counter('ramp.restarted', 'restarts of the cold-start ramp'),
-    _counter('quota.*', 'quota events: tokens and rights to mint them'),
+    _counter(
+        'quota.*',
+        'quota events: tokens, rights to mint them, claims of buckets',
+    ),
     _counter(
         'request.cut-off.*',
         'requests whose connection this node closed before the answer, '
--- a/tests/systems/quotas/test_owner.py
+++ b/tests/systems/quotas/test_owner.py
@@ -14,7 +14,7 @@
 from figlane.entities.inbox import NodeStarted, PeerMessage
 from figlane.entities.ingress import CallerLimits, ConfigurationReplaced
 from figlane.entities.member import Member, MemberPhase
-from figlane.entities.outbox import AnswerCaller, SendToPeer
+from figlane.entities.outbox import AnswerCaller, LogDecision, SendToPeer
 from figlane.entities.quota_messages import (
     BucketClaim,
     BucketRelease,
@@ -45,7 +45,8 @@
     ``cut`` holds the numbers of the nodes that are partitioned from the rest,
     ``paused`` those of the nodes that do not run, and ``active`` those of the
     nodes that are simulated, by default all. ``numbers`` are those of
-    ``worlds``.
+    ``worlds``. ``logged`` holds the decisions about buckets with the numbers of
+    their nodes.
     """
 
     count: int
@@ -64,6 +65,7 @@
     cut: frozenset[int] = frozenset()
     paused: frozenset[int] = frozenset()
     sent: int = 0
+    logged: list[tuple[int, LogDecision]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Start the nodes."""
@@ -205,6 +207,8 @@
                 self._transmit(number, row)
             if isinstance(row, AnswerCaller):
                 self._count(row)
+            if isinstance(row, LogDecision) and 'bucket' in row.event:
+                self.logged.append((number, row))
         world.outbox.clear()
 
     def _transmit(self, number: int, row: SendToPeer) -> None:
@@ -392,6 +396,33 @@
         self.assertLessEqual(fleet.max_in_window(), _WINDOW_LIMIT)
         self.assertGreater(len(fleet.admitted_at), 8 * _ALLOWANCE.rate)
 
+    def test_change_of_owner_is_logged(self) -> None:
+        """The claim and the release name each other's node.
+
+        A log line's own ``level`` stands for its severity.
+        """
+        fleet = _rested_fleet()
+        fleet.run(1, _SURGE_RATE)
+        fleet.run(0.1, 0)
+        leaving = owner_of(fleet.worlds[0], 'acme')
+        for world in fleet.worlds:
+            member = own_member(world)
+            if member.id != leaving:
+                member = world.members.by_id[leaving]
+            world.members.move(member, MemberPhase.LEAVING)
+        fleet.logged.clear()
+        fleet.run(0.2, _SURGE_RATE)
+        successor = owner_of(fleet.worlds[0], 'acme')
+        (_, released), (claimant, claimed) = fleet.logged
+        self.assertEqual(released.event, 'bucket_released')
+        self.assertEqual(released.inputs['claimant'], successor)
+        self.assertTrue(released.inputs['was_owner'])
+        self.assertNotIn('level', released.inputs | claimed.inputs)
+        self.assertEqual(claimed.event, 'bucket_claimed')
+        self.assertEqual(f'n{claimant}', successor)
+        self.assertEqual(claimed.inputs['previous'], leaving)
+        self.assertEqual(claimed.inputs['outcome'], 'released')
+
     def test_silent_owner(self) -> None:
         """Calls go on, at a part of the rate, while the owner is silent."""
         fleet = _rested_fleet()
