Keep an organisation's bucket until its new owner claims it

A leaving owner that got one more request found that another member owned the bucket now and gave it up at once. The claim of the new owner came after that and was answered with was_owner=False, so the new owner credited the bucket with all the time since its own start.

A node that is no longer the owner now sends requests on and charges none, as before, but goes on holding the bucket (is_held) until it is claimed. A node that becomes the owner again before that keeps what it holds if the member that it asks does not hold the bucket. A claim under way is no longer given up by a request either.

test_late_request_keeps_the_bucket failed before: AssertionError: 'not-owner' != 'released'

--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -80,7 +80,9 @@
     ``created_at`` is when this node began to fill it without knowing the
     previous owner's level, ``-NEVER`` if that level was received.
     ``waiting_requests`` holds the requests, by requester, that arrived during a
-    claim. ``claimed_from`` is the member that was asked to release the bucket.
+    claim. ``is_held`` means that no other member has claimed the bucket since
+    this node charged calls to it; the node may no longer be the owner.
+    ``claimed_from`` is the member that was asked to release the bucket.
     ``released_to`` is the member that the bucket was released to at
     ``released_at``.
 
@@ -97,6 +99,7 @@
     waiting_requests: list[tuple[str, ChargeRequest]] = field(
         default_factory=list
     )
+    is_held: bool = False
     claimed_from: str = ''
     released_to: str = ''
     released_at: float = -NEVER
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -62,7 +62,7 @@
         if bucket.phase is OwnedBucketPhase.OWNED:
             _answer_waiting(world, bucket, now)
         return
-    if bucket.phase is not OwnedBucketPhase.UNCLAIMED:
+    if bucket.phase is OwnedBucketPhase.OWNED:
         world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
     if owner_id and not request.is_fallback:
         reply = ChargeReply(
@@ -83,11 +83,11 @@
     """
     claim: BucketClaim = row.message
     bucket = find_bucket(world, claim.organisation_id, now)
-    was_owner = bucket.phase is OwnedBucketPhase.OWNED
     _log_release(world, bucket, row.sender, now)
     refill(world, bucket, now)
-    release = BucketRelease(claim.organisation_id, bucket.level, was_owner)
+    release = BucketRelease(claim.organisation_id, bucket.level, bucket.is_held)
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
+    bucket.is_held = False
     bucket.released_to = row.sender
     bucket.released_at = now
     send_message(world, row.sender, release)
@@ -115,7 +115,7 @@
         bucket.level = release.level
         bucket.refilled_at = now
         bucket.created_at = -NEVER
-    else:
+    elif not bucket.is_held:
         # No member has charged calls lately, unless it was this node before its
         # latest start.
         bucket.refilled_at = min(now, world.started_at)
@@ -134,6 +134,7 @@
     """
     for bucket in world.quota.owned_buckets.pop_due(now):
         if bucket.phase is OwnedBucketPhase.CLAIMING:
+            _empty(bucket, now)
             _log_claim(world, bucket, 'unanswered', now)
             _start_serving(world, bucket, now)
 
@@ -153,14 +154,14 @@
 def _claim_if_needed(world: World, bucket: OwnedBucket, now: float) -> None:
     if bucket.phase is not OwnedBucketPhase.UNCLAIMED:
         return
-    bucket.level = 0
-    bucket.refilled_at = now
-    bucket.created_at = now
+    if not bucket.is_held:
+        _empty(bucket, now)
     bucket.released_to = ''
     bucket.claimed_from = previous_owner_of(world, bucket.id)
     if not bucket.claimed_from:
-        bucket.refilled_at = min(now, world.started_at)
-        bucket.created_at = bucket.refilled_at
+        if not bucket.is_held:
+            bucket.refilled_at = min(now, world.started_at)
+            bucket.created_at = bucket.refilled_at
         _log_claim(world, bucket, 'alone', now)
         _start_serving(world, bucket, now)
         return
@@ -170,6 +171,12 @@
     send_message(world, bucket.claimed_from, BucketClaim(bucket.id))
 
 
+def _empty(bucket: OwnedBucket, now: float) -> None:
+    bucket.level = 0
+    bucket.refilled_at = now
+    bucket.created_at = now
+
+
 def _log_claim(
     world: World, bucket: OwnedBucket, outcome: str, now: float
 ) -> None:
@@ -191,15 +198,15 @@
 def _log_release(
     world: World, bucket: OwnedBucket, claimant: str, now: float
 ) -> None:
-    was_owner = bucket.phase is OwnedBucketPhase.OWNED
-    world.counters[f'quota.release.{"owner" if was_owner else "other"}'] += 1
+    kind = 'owner' if bucket.is_held else 'other'
+    world.counters[f'quota.release.{kind}'] += 1
     world.outbox.append(
         LogDecision(
             'bucket_released',
             {
                 'organisation': bucket.id,
                 'claimant': claimant,
-                'was_owner': was_owner,
+                'was_owner': bucket.is_held,
                 'tokens': round(bucket.level, _DECIMALS),
                 'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
             },
@@ -209,6 +216,7 @@
 
 def _start_serving(world: World, bucket: OwnedBucket, now: float) -> None:
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.OWNED)
+    bucket.is_held = True
     _answer_waiting(world, bucket, now)
 
 
--- a/tests/systems/quotas/test_owner.py
+++ b/tests/systems/quotas/test_owner.py
@@ -423,6 +423,26 @@
         self.assertEqual(claimed.inputs['previous'], leaving)
         self.assertEqual(claimed.inputs['outcome'], 'released')
 
+    def test_late_request_keeps_the_bucket(self) -> None:
+        """Requests that a leaving owner sends on lose nothing of the level."""
+        for requests in (1, 2, 3):
+            with self.subTest(requests=requests):
+                fleet = _rested_fleet()
+                fleet.run(1, _SURGE_RATE)
+                fleet.run(0.1, 0)
+                leaving = owner_of(fleet.worlds[0], 'acme')
+                _move_to_end(fleet, leaving)
+                _set_phase(fleet.worlds[-1], leaving, MemberPhase.LEAVING)
+                for world in fleet.worlds[:requests]:
+                    fleet.call(world)
+                fleet.run(_DELAY_SECONDS, 0)
+                for world in fleet.worlds:
+                    _set_phase(world, leaving, MemberPhase.LEAVING)
+                fleet.logged.clear()
+                fleet.run(0.2, 0)
+                _, (_, claimed) = fleet.logged
+                self.assertEqual(claimed.inputs['outcome'], 'released')
+
     def test_silent_owner(self) -> None:
         """Calls go on, at a part of the rate, while the owner is silent."""
         fleet = _rested_fleet()
@@ -473,3 +493,15 @@
     fleet = Fleet(8)
     fleet.run(2, 0)
     return fleet
+
+
+def _move_to_end(fleet: Fleet, node_id: str) -> None:
+    index = fleet.numbers.index(int(node_id[1:]))
+    fleet.numbers.append(fleet.numbers.pop(index))
+    fleet.worlds.append(fleet.worlds.pop(index))
+
+
+def _set_phase(world: World, node_id: str, phase: MemberPhase) -> None:
+    own = own_member(world)
+    member = own if own.id == node_id else world.members.by_id[node_id]
+    world.members.move(member, phase)
