Claim a bucket from each member that may hold it

A new owner claimed the bucket from the first other member on the ring. While members leave in turn that is the one that left first and not the one that held the bucket last, and it answered was_owner=False, or with an old level. The new owner credited all the time since its own start, and the member that held the bucket went on charging.

The claim now goes to all leaving members and to the one that would own the bucket without this node, which is one message where nobody leaves. A member that does not hold it names the one that claimed it last (BucketRelease.released_to, empty from older nodes), which is asked too. At most 16 are asked, and the time limit of a claim stays. The first that holds the bucket ends the claim; it counts as unused only if all have answered that they do not hold it.

--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -82,8 +82,9 @@
     ``waiting_requests`` holds the requests, by requester, that arrived during a
     claim. ``is_held`` means that no other member has claimed the bucket since
     this node charged calls to it; the node may no longer be the owner.
-    ``claimed_from`` is the member that was asked to release the bucket.
-    ``released_to`` is the member that the bucket was released to at
+    ``claimed_from`` holds the members that were asked to release it, and
+    ``awaited`` those of them that have not answered.
+    ``released_to`` is the member that claimed it from this one last, at
     ``released_at``.
 
     While the owner is silent, its successor charges calls to a second, smaller
@@ -100,7 +101,8 @@
         default_factory=list
     )
     is_held: bool = False
-    claimed_from: str = ''
+    claimed_from: list[str] = field(default_factory=list)
+    awaited: set[str] = field(default_factory=set)
     released_to: str = ''
     released_at: float = -NEVER
     fallback_level: float = 0
--- a/src/figlane/entities/quota_messages.py
+++ b/src/figlane/entities/quota_messages.py
@@ -74,7 +74,7 @@
 
 @dataclass(slots=True)
 class BucketClaim:
-    """Asks the previous owner of an organisation's bucket to release it."""
+    """Asks a member that may hold an organisation's bucket to release it."""
 
     organisation_id: str
 
@@ -83,12 +83,14 @@
 class BucketRelease:
     """Answers a ``BucketClaim``; the sender charges no more calls.
 
-    ``level`` is the bucket's if ``was_owner`` is set.
+    ``level`` is the bucket's if ``was_owner`` is set. Otherwise ``released_to``
+    is the member that claimed it from the sender before, if there was one.
     """
 
     organisation_id: str
     level: float = 0
     was_owner: bool = False
+    released_to: str = ''
 
 
 @dataclass(slots=True)
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -1,8 +1,9 @@
 """Keeps the buckets of the organisations that this node owns.
 
 A bucket exists once in the fleet. A node that becomes its owner, because it
-joined or because the owner leaves, first claims it from the previous owner,
-which then charges no more calls. Nothing is kept in the platform's object
+joined or because the owner leaves, first claims it from the members that may
+hold it. They charge no more calls, and one that held it before names the member
+that claimed it since. Nothing is kept in the platform's object
 store, so that the limit holds at a restart of the whole fleet and while the
 store is unavailable: a new bucket starts empty.
 """
@@ -32,11 +33,13 @@
     whole_tokens,
 )
 from figlane.systems.quotas.requesters import record_requester
-from figlane.systems.quotas.ring import owner_of, previous_owner_of
+from figlane.systems.quotas.ring import owner_of, previous_owners_of
 from figlane.systems.registry import Stage, peer_handlers, system
 
 # Time without an answer after which the previous owner counts as gone.
 _CLAIM_TIMEOUT_SECONDS = 0.1
+# Largest number of members that are asked to release one bucket.
+_MAX_CLAIMS = 16
 # Time after a release for which requests are sent on to the new owner, of which
 # this node may not have heard yet.
 _RELEASED_SECONDS = 5.0
@@ -85,7 +88,12 @@
     bucket = find_bucket(world, claim.organisation_id, now)
     _log_release(world, bucket, row.sender, now)
     refill(world, bucket, now)
-    release = BucketRelease(claim.organisation_id, bucket.level, bucket.is_held)
+    release = BucketRelease(
+        bucket.id,
+        bucket.level,
+        bucket.is_held,
+        '' if bucket.is_held else bucket.released_to,
+    )
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
     bucket.is_held = False
     bucket.released_to = row.sender
@@ -104,30 +112,29 @@
     """Take over a bucket with the level that it had at its previous owner.
 
     :param world: the tables.
-    :param row: the answer to this node's claim.
+    :param row: an answer to this node's claim.
     :param now: the present time in seconds.
     """
     release: BucketRelease = row.message
     bucket = world.quota.owned_buckets.get(release.organisation_id)
     if bucket is None or bucket.phase is not OwnedBucketPhase.CLAIMING:
         return
+    bucket.awaited.discard(row.sender)
     if release.was_owner:
         bucket.level = release.level
         bucket.refilled_at = now
         bucket.created_at = -NEVER
-    elif not bucket.is_held:
-        # No member has charged calls lately, unless it was this node before its
-        # latest start.
-        bucket.refilled_at = min(now, world.started_at)
-        bucket.created_at = bucket.refilled_at
-    outcome = 'released' if release.was_owner else 'not-owner'
-    _log_claim(world, bucket, outcome, now)
-    _start_serving(world, bucket, now)
+        _log_claim(world, bucket, 'released', row.sender, now)
+        _start_serving(world, bucket, now)
+        return
+    _send_claim(world, bucket, release.released_to)
+    if not bucket.awaited:
+        _start_unheld(world, bucket, 'not-owner', now)
 
 
 @system(Stage.QUOTA, RunCondition('quota.owned_buckets'))
 def end_claims(world: World, now: float) -> None:
-    """Take over the buckets whose previous owner has not answered in time.
+    """Take over the buckets that no member has released in time.
 
     :param world: the tables.
     :param now: the present time in seconds.
@@ -135,7 +142,7 @@
     for bucket in world.quota.owned_buckets.pop_due(now):
         if bucket.phase is OwnedBucketPhase.CLAIMING:
             _empty(bucket, now)
-            _log_claim(world, bucket, 'unanswered', now)
+            _log_claim(world, bucket, 'unanswered', '', now)
             _start_serving(world, bucket, now)
 
 
@@ -157,18 +164,38 @@
     if not bucket.is_held:
         _empty(bucket, now)
     bucket.released_to = ''
-    bucket.claimed_from = previous_owner_of(world, bucket.id)
-    if not bucket.claimed_from:
-        if not bucket.is_held:
-            bucket.refilled_at = min(now, world.started_at)
-            bucket.created_at = bucket.refilled_at
-        _log_claim(world, bucket, 'alone', now)
-        _start_serving(world, bucket, now)
-        return
+    bucket.claimed_from.clear()
+    bucket.awaited.clear()
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.CLAIMING)
     due = now + _CLAIM_TIMEOUT_SECONDS
     world.quota.owned_buckets.schedule(bucket, due)
-    send_message(world, bucket.claimed_from, BucketClaim(bucket.id))
+    for member_id in previous_owners_of(world, bucket.id):
+        _send_claim(world, bucket, member_id)
+    if not bucket.awaited:
+        _start_unheld(world, bucket, 'alone', now)
+
+
+def _send_claim(world: World, bucket: OwnedBucket, member_id: str) -> None:
+    if len(bucket.claimed_from) >= _MAX_CLAIMS:
+        return
+    asked = (world.identity.node_id, *bucket.claimed_from)
+    if member_id in asked or member_id not in world.members:
+        return
+    bucket.claimed_from.append(member_id)
+    bucket.awaited.add(member_id)
+    send_message(world, member_id, BucketClaim(bucket.id))
+
+
+def _start_unheld(
+    world: World, bucket: OwnedBucket, outcome: str, now: float
+) -> None:
+    if not bucket.is_held:
+        # No member has charged calls lately, unless it was this node before its
+        # latest start.
+        bucket.refilled_at = min(now, world.started_at)
+        bucket.created_at = bucket.refilled_at
+    _log_claim(world, bucket, outcome, '', now)
+    _start_serving(world, bucket, now)
 
 
 def _empty(bucket: OwnedBucket, now: float) -> None:
@@ -178,7 +205,7 @@
 
 
 def _log_claim(
-    world: World, bucket: OwnedBucket, outcome: str, now: float
+    world: World, bucket: OwnedBucket, outcome: str, previous: str, now: float
 ) -> None:
     world.counters[f'quota.claim.{outcome}'] += 1
     world.outbox.append(
@@ -186,7 +213,8 @@
             'bucket_claimed',
             {
                 'organisation': bucket.id,
-                'previous': bucket.claimed_from,
+                'previous': previous,
+                'asked': list(bucket.claimed_from),
                 'outcome': outcome,
                 'tokens': round(bucket.level, _DECIMALS),
                 'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
--- a/src/figlane/systems/quotas/ring.py
+++ b/src/figlane/systems/quotas/ring.py
@@ -49,19 +49,20 @@
     return ''
 
 
-def previous_owner_of(world: World, organisation_id: str) -> str:
-    """Determine who owned this node's bucket before this node did.
+def previous_owners_of(world: World, organisation_id: str) -> Iterator[str]:
+    """List the members of which one may hold the bucket that this node owns.
 
     :param world: the tables.
     :param organisation_id: the organisation.
-    :return: id of the member that would own the bucket without this node: it
-        is leaving, or this node joined after it; empty if there is none.
+    :return: ids of the members that are leaving or silent, up to the first live
+        one, which would own the bucket without this node.
     """
-    own_id = world.identity.node_id
     for member in ring_members(world, organisation_id):
-        if member.id != own_id:
-            return member.id
-    return ''
+        if member.id == world.identity.node_id:
+            continue
+        yield member.id
+        if member.phase is MemberPhase.ALIVE:
+            return
 
 
 def _points(world: World) -> list[tuple[int, str]]:
--- a/tests/systems/quotas/test_handover.py
+++ b/tests/systems/quotas/test_handover.py
@@ -8,10 +8,12 @@
 from figlane.entities.outbox import LogDecision
 from figlane.entities.world import World
 from figlane.systems.membership.states import own_member
-from figlane.systems.quotas.ring import owner_of
+from figlane.systems.quotas.ring import owner_of, ring_members
 from tests.systems.quotas.owner_fleet import (
+    ALLOWANCE,
     DELAY_SECONDS,
     SURGE_RATE,
+    WINDOW_LIMIT,
     Fleet,
     rested_fleet,
 )
@@ -63,6 +65,64 @@
                 claimed = _logged(fleet, successor, 'bucket_claimed')
                 self.assertEqual(claimed.inputs['outcome'], 'released')
 
+    def test_owners_that_leave_in_turn(self) -> None:
+        """The members keep to the window while one owner after another leaves.
+
+        The leaving owner knows it first, and the others one after the other.
+        """
+        for seconds in (0, 0.01, 0.02, 0.05, 0.1):
+            with self.subTest(seconds=seconds):
+                fleet = rested_fleet()
+                fleet.run(4, SURGE_RATE)
+                for _ in range(6):
+                    leaving = _owner(fleet)
+                    _announce_leaving(fleet, leaving, seconds)
+                    fleet.run(0.3, SURGE_RATE)
+                self.assertLessEqual(fleet.max_in_window(), WINDOW_LIMIT)
+                served = len(fleet.admitted_at)
+                self.assertGreater(served, 5 * ALLOWANCE.rate)
+
+    def test_owners_that_restart_in_turn(self) -> None:
+        """The members keep to the window while owners leave and come back."""
+        for gap in (0.05, 0.1, 0.2, 0.3):
+            for away in (1, 2, 3, 4, 5):
+                with self.subTest(gap=gap, away=away):
+                    fleet = rested_fleet()
+                    fleet.run(4, SURGE_RATE)
+                    fleet.logged.clear()
+                    _restart_in_turn(fleet, gap, away)
+                    self.assertLessEqual(fleet.max_in_window(), WINDOW_LIMIT)
+                    served = len(fleet.admitted_at)
+                    self.assertGreater(served, 5 * ALLOWANCE.rate)
+                    outcomes = {
+                        row.inputs['outcome']
+                        for _, row in fleet.logged
+                        if row.event == 'bucket_claimed'
+                    }
+                    self.assertEqual(outcomes, {'released'})
+
+    def test_claim_follows_the_bucket(self) -> None:
+        """A member that released the bucket names the one that claimed it."""
+        fleet = rested_fleet()
+        ring = _ring(fleet)
+        fleet.run(1, SURGE_RATE)
+        _announce_leaving(fleet, ring[0], 0)
+        fleet.run(0.2, SURGE_RATE)
+        _announce_leaving(fleet, ring[1], 0)
+        fleet.run(0.2, SURGE_RATE)
+        _restart(fleet, ring[0], 0)
+        fleet.logged.clear()
+        _set_phase(fleet.worlds[-1], ring[1], MemberPhase.ALIVE)
+        fleet.call(fleet.worlds[-1])
+        fleet.run(0.2, 0)
+        claimed = _logged(fleet, ring[0], 'bucket_claimed')
+        self.assertEqual(claimed.inputs['previous'], ring[2])
+        self.assertEqual(claimed.inputs['asked'], [ring[1], ring[2]])
+
+
+def _ring(fleet: Fleet) -> list[str]:
+    return [member.id for member in ring_members(fleet.worlds[0], 'acme')]
+
 
 def _owner(fleet: Fleet) -> str:
     return owner_of(fleet.worlds[0], 'acme')
@@ -88,3 +148,34 @@
     ]
     assert len(found) == 1, fleet.logged
     return found[0]
+
+
+def _announce_leaving(fleet: Fleet, node_id: str, seconds: float) -> None:
+    _move_to_end(fleet, node_id)
+    for world in reversed(fleet.worlds):
+        _set_phase(world, node_id, MemberPhase.LEAVING)
+        fleet.run(seconds, SURGE_RATE)
+
+
+def _restart_in_turn(fleet: Fleet, gap: float, away: int) -> None:
+    """Let all members restart, in the order in which they own the bucket."""
+    ring = _ring(fleet)
+    for number in range(len(ring) + away):
+        if number < len(ring):
+            _announce_leaving(fleet, ring[number], 0.01)
+        if number >= away:
+            _restart(fleet, ring[number - away], SURGE_RATE)
+        fleet.run(gap, SURGE_RATE)
+
+
+def _restart(fleet: Fleet, node_id: str, rate: float) -> None:
+    _move_to_end(fleet, node_id)
+    known = fleet.worlds.pop()
+    started = fleet.start(fleet.numbers[-1])
+    for member in known.members:
+        if member.id != node_id:
+            _set_phase(started, member.id, member.phase)
+    fleet.worlds.append(started)
+    for world in fleet.worlds[:-1]:
+        _set_phase(world, node_id, MemberPhase.ALIVE)
+        fleet.run(0.01, rate)
