Answer a claim that comes during a claim once it has ended

A node that was asked for a bucket while it claimed that bucket itself answered that it did not hold it, and gave its own claim up. The release that was on its way to it was dropped, so that no member held the bucket: the second claimant counted it as unused since its own start.

The calls that wait at it are charged first.

test_claim_during_a_claim failed before: AssertionError: '' != 'n6'.

--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -83,7 +83,8 @@
     claim. ``is_held`` means that no other member has claimed the bucket since
     this node charged calls to it; the node may no longer be the owner.
     ``claimed_from`` holds the members that were asked to release it, and
-    ``awaited`` those of them that have not answered.
+    ``awaited`` those of them that have not answered. ``claimant`` is the member
+    that claimed it during this node's claim.
     ``released_to`` is the member that claimed it from this one last, at
     ``released_at``.
 
@@ -103,6 +104,7 @@
     is_held: bool = False
     claimed_from: list[str] = field(default_factory=list)
     awaited: set[str] = field(default_factory=set)
+    claimant: str = ''
     released_to: str = ''
     released_at: float = -NEVER
     fallback_level: float = 0
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -80,31 +80,18 @@
 def handle_bucket_claim(world: World, row: PeerMessage, now: float) -> None:
     """Release a bucket to the member that owns it from now on.
 
+    During a claim of this node, the level is not known: the answer waits.
+
     :param world: the tables.
     :param row: the claim.
     :param now: the present time in seconds.
     """
     claim: BucketClaim = row.message
     bucket = find_bucket(world, claim.organisation_id, now)
-    _log_release(world, bucket, row.sender, now)
-    refill(world, bucket, now)
-    release = BucketRelease(
-        bucket.id,
-        bucket.level,
-        bucket.is_held,
-        '' if bucket.is_held else bucket.released_to,
-    )
-    world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
-    bucket.is_held = False
-    bucket.released_to = row.sender
-    bucket.released_at = now
-    send_message(world, row.sender, release)
-    for sender, request in bucket.waiting_requests:
-        reply = ChargeReply(
-            request.request_id, request.organisation_id, owner_id=row.sender
-        )
-        send_message(world, sender, reply)
-    bucket.waiting_requests.clear()
+    if bucket.phase is OwnedBucketPhase.CLAIMING:
+        bucket.claimant = row.sender
+        return
+    _release(world, bucket, row.sender, now)
 
 
 @peer_handlers.register(BucketRelease)
@@ -198,6 +185,25 @@
     _start_serving(world, bucket, now)
 
 
+def _release(
+    world: World, bucket: OwnedBucket, claimant: str, now: float
+) -> None:
+    _log_release(world, bucket, claimant, now)
+    refill(world, bucket, now)
+    release = BucketRelease(
+        bucket.id,
+        bucket.level,
+        bucket.is_held,
+        '' if bucket.is_held else bucket.released_to,
+    )
+    world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
+    bucket.is_held = False
+    bucket.claimant = ''
+    bucket.released_to = claimant
+    bucket.released_at = now
+    send_message(world, claimant, release)
+
+
 def _empty(bucket: OwnedBucket, now: float) -> None:
     bucket.level = 0
     bucket.refilled_at = now
@@ -246,6 +252,8 @@
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.OWNED)
     bucket.is_held = True
     _answer_waiting(world, bucket, now)
+    if bucket.claimant:
+        _release(world, bucket, bucket.claimant, now)
 
 
 def _answer_waiting(world: World, bucket: OwnedBucket, now: float) -> None:
--- a/tests/systems/quotas/test_handover.py
+++ b/tests/systems/quotas/test_handover.py
@@ -119,6 +119,24 @@
         self.assertEqual(claimed.inputs['previous'], ring[2])
         self.assertEqual(claimed.inputs['asked'], [ring[1], ring[2]])
 
+    def test_claim_during_a_claim(self) -> None:
+        """A member that is asked while it claims hands over what it gets."""
+        fleet = rested_fleet()
+        ring = _ring(fleet)
+        fleet.run(1, SURGE_RATE)
+        fleet.run(0.1, 0)
+        for world in fleet.worlds:
+            _set_phase(world, ring[0], MemberPhase.LEAVING)
+        _move_to_end(fleet, ring[1])
+        _move_to_end(fleet, ring[2])
+        _set_phase(fleet.worlds[-1], ring[1], MemberPhase.LEAVING)
+        fleet.logged.clear()
+        fleet.call(fleet.worlds[-1])
+        fleet.call(fleet.worlds[-2])
+        fleet.run(0.3, 0)
+        claimed = _logged(fleet, ring[2], 'bucket_claimed')
+        self.assertEqual(claimed.inputs['previous'], ring[1])
+
 
 def _ring(fleet: Fleet) -> list[str]:
     return [member.id for member in ring_members(fleet.worlds[0], 'acme')]
