Claim a bucket from the member that it was released to

A node that owns a bucket again may ask only members that have never heard of it: the next one on the ring has restarted, and the member that this node released the bucket to is no longer among those that may own it.

The node now asks also the member that it released the bucket to, unless that member is dead.

test_returned_owner_asks_its_claimant failed before: AssertionError: '' != 'n4'.

--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -150,14 +150,15 @@
         return
     if not bucket.is_held:
         _empty(bucket, now)
-    bucket.released_to = ''
     bucket.claimed_from.clear()
     bucket.awaited.clear()
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.CLAIMING)
     due = now + _CLAIM_TIMEOUT_SECONDS
     world.quota.owned_buckets.schedule(bucket, due)
+    _send_claim(world, bucket, bucket.released_to)
     for member_id in previous_owners_of(world, bucket.id):
         _send_claim(world, bucket, member_id)
+    bucket.released_to = ''
     if not bucket.awaited:
         _start_unheld(world, bucket, 'alone', now)
 
@@ -166,7 +167,10 @@
     if len(bucket.claimed_from) >= _MAX_CLAIMS:
         return
     asked = (world.identity.node_id, *bucket.claimed_from)
-    if member_id in asked or member_id not in world.members:
+    member = world.members.get(member_id)
+    if member is None or member_id in asked:
+        return
+    if member.phase is MemberPhase.DEAD:
         return
     bucket.claimed_from.append(member_id)
     bucket.awaited.add(member_id)
--- a/tests/systems/quotas/test_handover.py
+++ b/tests/systems/quotas/test_handover.py
@@ -119,6 +119,28 @@
         self.assertEqual(claimed.inputs['previous'], ring[2])
         self.assertEqual(claimed.inputs['asked'], [ring[1], ring[2]])
 
+    def test_returned_owner_asks_its_claimant(self) -> None:
+        """A node asks the member that it released the bucket to."""
+        fleet = rested_fleet()
+        ring = _ring(fleet)
+        fleet.run(1, SURGE_RATE)
+        fleet.run(0.1, 0)
+        _move_to_end(fleet, ring[3])
+        claimant = fleet.worlds[-1]
+        for member_id in ring[:3]:
+            _set_phase(claimant, member_id, MemberPhase.LEAVING)
+        fleet.call(claimant)
+        fleet.run(0.2, 0)
+        for member_id in ring[:3]:
+            _set_phase(claimant, member_id, MemberPhase.ALIVE)
+        _restart(fleet, ring[1], 0)
+        fleet.run(6, 0)
+        fleet.logged.clear()
+        fleet.call(fleet.worlds[0])
+        fleet.run(0.2, 0)
+        claimed = _logged(fleet, ring[0], 'bucket_claimed')
+        self.assertEqual(claimed.inputs['previous'], ring[3])
+
     def test_claim_during_a_claim(self) -> None:
         """A member that is asked while it claims hands over what it gets."""
         fleet = rested_fleet()
