Tell claims apart by which a node keeps what it holds

A node that became the owner again before another member had claimed its bucket logged not-owner, as one does that starts with a bucket that nobody held. The outcome is now kept, with a counter of its own.

--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -180,7 +180,9 @@
 def _start_unheld(
     world: World, bucket: OwnedBucket, outcome: str, now: float
 ) -> None:
-    if not bucket.is_held:
+    if bucket.is_held:
+        outcome = 'kept'
+    else:
         # No member has charged calls lately, unless it was this node before its
         # latest start.
         bucket.refilled_at = min(now, world.started_at)
