Leave a bucket to a returned owner that still counts as leaving

The restarted owner claimed its bucket back from a member that had not heard of the restart. That member still took it for leaving, so it counted the owner as gone, claimed the bucket back at once, and the owner sent all requests on to it for 5 s, as to a member that has just joined. When news of the restart came, it sent the requests back. Both named each other until the 5 s were over, and only the small fallback of each was charged.

A leaving member claims nothing. Whoever claims while it counts as leaving has therefore been started anew, and what this node knows of it is outdated: it is the owner until this node hears of a later incarnation.

--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -86,7 +86,8 @@
     ``awaited`` those of them that have not answered. ``claimant`` is the member
     that claimed it during this node's claim.
     ``released_to`` is the member that claimed it from this one last, at
-    ``released_at``.
+    ``released_at``; ``outdated_incarnation`` is its incarnation if it counted
+    as leaving, and else 0.
 
     While the owner is silent, its successor charges calls to a second, smaller
     bucket with ``fallback_level``. ``requester_by_node`` holds the entry nodes
@@ -107,6 +108,7 @@
     claimant: str = ''
     released_to: str = ''
     released_at: float = -NEVER
+    outdated_incarnation: int = 0
     fallback_level: float = 0
     fallback_refilled_at: float = -NEVER
     requester_by_node: dict[str, Requester] = field(default_factory=dict)
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -140,8 +140,13 @@
         return owner_id
     if now >= bucket.released_at + _RELEASED_SECONDS:
         return owner_id
-    # A member that this node has not heard of yet has just joined.
-    is_gone = released is not None and released.phase is not MemberPhase.ALIVE
+    # A member that this node has not heard of yet has just joined, and one that
+    # counted as leaving when it claimed the bucket has been started anew.
+    is_gone = (
+        released is not None
+        and released.phase is not MemberPhase.ALIVE
+        and released.incarnation != bucket.outdated_incarnation
+    )
     return owner_id if is_gone else bucket.released_to
 
 
@@ -207,6 +212,10 @@
     bucket.claimant = ''
     bucket.released_to = claimant
     bucket.released_at = now
+    bucket.outdated_incarnation = 0
+    member = world.members.get(claimant)
+    if member is not None and member.phase is MemberPhase.LEAVING:
+        bucket.outdated_incarnation = member.incarnation
     send_message(world, claimant, release)
 
 
--- a/tests/systems/quotas/test_handover.py
+++ b/tests/systems/quotas/test_handover.py
@@ -141,23 +141,43 @@
         claimed = _logged(fleet, ring[0], 'bucket_claimed')
         self.assertEqual(claimed.inputs['previous'], ring[3])
 
+    def test_late_news_of_a_return(self) -> None:
+        """A member that takes an owner for leaving claims nothing back."""
+        fleet = rested_fleet()
+        owner_id, successor_id = _ring(fleet)[:2]
+        fleet.run(1, SURGE_RATE)
+        _announce_leaving(fleet, owner_id, 0)
+        fleet.run(0.5, SURGE_RATE)
+        fleet.run(0.1, 0)
+        _move_to_end(fleet, successor_id)
+        successor = fleet.worlds[-1]
+        _restart(fleet, owner_id, 0)
+        successor.members.by_id[owner_id].incarnation = 1
+        _set_phase(successor, owner_id, MemberPhase.LEAVING)
+        fleet.run(0.2, SURGE_RATE)
+        successor.members.by_id[owner_id].incarnation += 1
+        _set_phase(successor, owner_id, MemberPhase.ALIVE)
+        fleet.admitted_at.clear()
+        fleet.run(3, SURGE_RATE)
+        self.assertGreater(len(fleet.admitted_at), 2.9 * ALLOWANCE.rate)
+
     def test_claim_during_a_claim(self) -> None:
         """A member that is asked while it claims hands over what it gets."""
         fleet = rested_fleet()
-        ring = _ring(fleet)
+        first, second, third = _ring(fleet)[:3]
         fleet.run(1, SURGE_RATE)
         fleet.run(0.1, 0)
         for world in fleet.worlds:
-            _set_phase(world, ring[0], MemberPhase.LEAVING)
-        _move_to_end(fleet, ring[1])
-        _move_to_end(fleet, ring[2])
-        _set_phase(fleet.worlds[-1], ring[1], MemberPhase.LEAVING)
+            _set_phase(world, first, MemberPhase.LEAVING)
+        _move_to_end(fleet, second)
+        _move_to_end(fleet, third)
+        _set_phase(fleet.worlds[-1], second, MemberPhase.LEAVING)
         fleet.logged.clear()
         fleet.call(fleet.worlds[-1])
         fleet.call(fleet.worlds[-2])
         fleet.run(0.3, 0)
-        claimed = _logged(fleet, ring[2], 'bucket_claimed')
-        self.assertEqual(claimed.inputs['previous'], ring[1])
+        claimed = _logged(fleet, third, 'bucket_claimed')
+        self.assertEqual(claimed.inputs['previous'], second)
 
 
 def _ring(fleet: Fleet) -> list[str]:
@@ -217,5 +237,6 @@
             _set_phase(started, member.id, member.phase)
     fleet.worlds.append(started)
     for world in fleet.worlds[:-1]:
+        world.members.by_id[node_id].incarnation += 1
         _set_phase(world, node_id, MemberPhase.ALIVE)
         fleet.run(0.01, rate)
