--- a/tests/wire/test_fuzz.py
+++ b/tests/wire/test_fuzz.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from figlane.entities.quota_messages import BucketRelease
 from figlane.errors import RESPONSE_BY_KIND, ExecutionStatus, parse_error_kind
 from figlane.wire.checking import CheckError, check, parse_text
 from figlane.wire.documents import CODEC_BY_KIND, ServiceDocument, decode_entity
@@ -59,6 +60,15 @@
     """Decoding a frame raises no exception other than ``PeerFrameError``."""
 
     @_FUZZ
+    def test_release_of_an_older_node(self) -> None:
+        """Fields that an older node does not send have their defaults."""
+        fields = {'organisation_id': 'acme', 'level': 2.5, 'was_owner': True}
+        frame = encode('n1', BucketRelease('acme'))
+        payload = msgspec.msgpack.encode(fields)
+        start = len(frame) - len(msgspec.msgpack.encode(BucketRelease('acme')))
+        message = decode(frame[:start] + payload).message
+        self.assertEqual(message, BucketRelease('acme', 2.5, was_owner=True))
+
     @given(st.binary(max_size=300))
     def test_arbitrary_bytes(self, frame: bytes) -> None:
         """Arbitrary bytes are rejected or decoded.
