--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -80,13 +80,21 @@
     ``created_at`` is when this node began to fill it without knowing the
     previous owner's level, ``-NEVER`` if that level was received.
     ``waiting_requests`` holds the requests, by requester, that arrived during a
-    claim. ``released_to`` is the member that the bucket was released to at
-    ``released_at``.
+    claim. ``is_held`` means that no other member has claimed the bucket since
+    this node charged calls to it; the node may no longer be the owner.
+    ``claimed_from`` holds the members that were asked to release it, and
+    ``awaited`` those of them that have not answered. ``claimant`` is the member
+    that claimed it during this node's claim.
+    ``released_to`` is the member that claimed it from this one last, at
+    ``released_at``; ``outdated_incarnation`` is its incarnation if it did not
+    count as alive then, and else 0.
 
     While the owner is silent, its successor charges calls to a second, smaller
-    bucket with ``fallback_level``. ``requester_by_node`` holds the entry nodes
-    that asked lately, and ``has_silent_requester`` tells whether one of them
-    had stopped to ask at ``checked_at``.
+    bucket with ``fallback_level``. ``fallback_charged`` counts the calls that
+    were let through so, here or at members that were asked for the bucket, and
+    that are still to be charged to it. ``requester_by_node`` holds the entry
+    nodes that asked lately, and ``has_silent_requester`` tells whether one of
+    them had stopped to ask at ``checked_at``.
     """
 
     id: str
@@ -96,9 +104,15 @@
     waiting_requests: list[tuple[str, ChargeRequest]] = field(
         default_factory=list
     )
+    is_held: bool = False
+    claimed_from: list[str] = field(default_factory=list)
+    awaited: set[str] = field(default_factory=set)
+    claimant: str = ''
     released_to: str = ''
     released_at: float = -NEVER
+    outdated_incarnation: int = 0
     fallback_level: float = 0
+    fallback_charged: int = 0
     fallback_refilled_at: float = -NEVER
     requester_by_node: dict[str, Requester] = field(default_factory=dict)
     checked_at: float = -NEVER
--- a/src/figlane/entities/quota_messages.py
+++ b/src/figlane/entities/quota_messages.py
@@ -74,7 +74,7 @@
 
 @dataclass(slots=True)
 class BucketClaim:
-    """Asks the previous owner of an organisation's bucket to release it."""
+    """Asks a member that may hold an organisation's bucket to release it."""
 
     organisation_id: str
 
@@ -83,12 +83,16 @@
 class BucketRelease:
     """Answers a ``BucketClaim``; the sender charges no more calls.
 
-    ``level`` is the bucket's if ``was_owner`` is set.
+    ``level`` is the bucket's if ``was_owner`` is set. Otherwise ``released_to``
+    is the member that claimed it from the sender before, if there was one.
+    ``charged`` calls were let through by the sender in place of a silent owner.
     """
 
     organisation_id: str
     level: float = 0
     was_owner: bool = False
+    released_to: str = ''
+    charged: int = 0
 
 
 @dataclass(slots=True)
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -1,8 +1,9 @@
 """Keeps the buckets of the organisations that this node owns.
 
 A bucket exists once in the fleet. A node that becomes its owner, because it
-joined or because the owner leaves, first claims it from the previous owner,
-which then charges no more calls. Nothing is kept in the platform's object
+joined or because the owner leaves, first claims it from the members that may
+hold it. They charge no more calls, and one that held it before names the member
+that claimed it since. Nothing is kept in the platform's object
 store, so that the limit holds at a restart of the whole fleet and while the
 store is unavailable: a new bucket starts empty.
 """
@@ -12,6 +13,7 @@
 from figlane.entities.charge import OwnedBucket, OwnedBucketPhase
 from figlane.entities.inbox import PeerMessage
 from figlane.entities.member import MemberPhase
+from figlane.entities.outbox import LogDecision
 from figlane.entities.quota_messages import (
     BucketClaim,
     BucketRelease,
@@ -31,14 +33,18 @@
     whole_tokens,
 )
 from figlane.systems.quotas.requesters import record_requester
-from figlane.systems.quotas.ring import owner_of, previous_owner_of
+from figlane.systems.quotas.ring import owner_of, previous_owners_of
 from figlane.systems.registry import Stage, peer_handlers, system
 
 # Time without an answer after which the previous owner counts as gone.
 _CLAIM_TIMEOUT_SECONDS = 0.1
+# Largest number of members that are asked to release one bucket.
+_MAX_CLAIMS = 16
 # Time after a release for which requests are sent on to the new owner, of which
 # this node may not have heard yet.
 _RELEASED_SECONDS = 5.0
+# Tokens and seconds in log events are rounded to three decimals.
+_DECIMALS = 3
 
 
 @peer_handlers.register(ChargeRequest)
@@ -59,7 +65,7 @@
         if bucket.phase is OwnedBucketPhase.OWNED:
             _answer_waiting(world, bucket, now)
         return
-    if bucket.phase is not OwnedBucketPhase.UNCLAIMED:
+    if bucket.phase is OwnedBucketPhase.OWNED:
         world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
     if owner_id and not request.is_fallback:
         reply = ChargeReply(
@@ -74,25 +80,18 @@
 def handle_bucket_claim(world: World, row: PeerMessage, now: float) -> None:
     """Release a bucket to the member that owns it from now on.
 
+    During a claim of this node, the level is not known: the answer waits.
+
     :param world: the tables.
     :param row: the claim.
     :param now: the present time in seconds.
     """
     claim: BucketClaim = row.message
     bucket = find_bucket(world, claim.organisation_id, now)
-    was_owner = bucket.phase is OwnedBucketPhase.OWNED
-    refill(world, bucket, now)
-    release = BucketRelease(claim.organisation_id, bucket.level, was_owner)
-    world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
-    bucket.released_to = row.sender
-    bucket.released_at = now
-    send_message(world, row.sender, release)
-    for sender, request in bucket.waiting_requests:
-        reply = ChargeReply(
-            request.request_id, request.organisation_id, owner_id=row.sender
-        )
-        send_message(world, sender, reply)
-    bucket.waiting_requests.clear()
+    if bucket.phase is OwnedBucketPhase.CLAIMING:
+        bucket.claimant = row.sender
+        return
+    _release(world, bucket, row.sender, now)
 
 
 @peer_handlers.register(BucketRelease)
@@ -100,35 +99,40 @@
     """Take over a bucket with the level that it had at its previous owner.
 
     :param world: the tables.
-    :param row: the answer to this node's claim.
+    :param row: an answer to this node's claim.
     :param now: the present time in seconds.
     """
     release: BucketRelease = row.message
     bucket = world.quota.owned_buckets.get(release.organisation_id)
-    if bucket is None or bucket.phase is not OwnedBucketPhase.CLAIMING:
+    if bucket is None:
         return
+    bucket.fallback_charged += release.charged
+    if bucket.phase is not OwnedBucketPhase.CLAIMING:
+        return
+    bucket.awaited.discard(row.sender)
     if release.was_owner:
         bucket.level = release.level
         bucket.refilled_at = now
         bucket.created_at = -NEVER
-    else:
-        # No member has charged calls lately, unless it was this node before its
-        # latest start.
-        bucket.refilled_at = min(now, world.started_at)
-        bucket.created_at = bucket.refilled_at
-    _start_serving(world, bucket, now)
+        _log_claim(world, bucket, 'released', row.sender, now)
+        _start_serving(world, bucket, now)
+        return
+    _send_claim(world, bucket, release.released_to)
+    if not bucket.awaited:
+        _start_unheld(world, bucket, 'not-owner', now)
 
 
 @system(Stage.QUOTA, RunCondition('quota.owned_buckets'))
 def end_claims(world: World, now: float) -> None:
-    """Take over the buckets whose previous owner has not answered in time.
+    """Take over the buckets that no member has released in time.
 
     :param world: the tables.
     :param now: the present time in seconds.
     """
     for bucket in world.quota.owned_buckets.pop_due(now):
         if bucket.phase is OwnedBucketPhase.CLAIMING:
-            world.counters['quota.claim.unanswered'] += 1
+            _empty(bucket, now)
+            _log_claim(world, bucket, 'unanswered', '', now)
             _start_serving(world, bucket, now)
 
 
@@ -139,37 +143,150 @@
         return owner_id
     if now >= bucket.released_at + _RELEASED_SECONDS:
         return owner_id
-    # A member that this node has not heard of yet has just joined.
-    is_gone = released is not None and released.phase is not MemberPhase.ALIVE
-    return owner_id if is_gone else bucket.released_to
+    # A member that this node has not heard of yet has just joined, and one that
+    # did not count as alive when it claimed the bucket has been started anew.
+    # Any other one has not heard of this node yet.
+    is_outdated = released is None or (
+        released.incarnation == bucket.outdated_incarnation
+    )
+    return bucket.released_to if is_outdated else owner_id
 
 
 def _claim_if_needed(world: World, bucket: OwnedBucket, now: float) -> None:
     if bucket.phase is not OwnedBucketPhase.UNCLAIMED:
         return
-    bucket.level = 0
-    bucket.refilled_at = now
-    bucket.created_at = now
-    bucket.released_to = ''
-    previous = previous_owner_of(world, bucket.id)
-    if not previous:
-        bucket.refilled_at = min(now, world.started_at)
-        bucket.created_at = bucket.refilled_at
-        _start_serving(world, bucket, now)
-        return
+    if not bucket.is_held:
+        _empty(bucket, now)
+    _drop_old_fallback(world, bucket, now)
+    bucket.claimed_from.clear()
+    bucket.awaited.clear()
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.CLAIMING)
     due = now + _CLAIM_TIMEOUT_SECONDS
     world.quota.owned_buckets.schedule(bucket, due)
-    send_message(world, previous, BucketClaim(bucket.id))
+    _send_claim(world, bucket, bucket.released_to)
+    for member_id in previous_owners_of(world, bucket.id):
+        _send_claim(world, bucket, member_id)
+    bucket.released_to = ''
+    if not bucket.awaited:
+        _start_unheld(world, bucket, 'alone', now)
+
+
+def _send_claim(world: World, bucket: OwnedBucket, member_id: str) -> None:
+    if len(bucket.claimed_from) >= _MAX_CLAIMS:
+        return
+    asked = (world.identity.node_id, *bucket.claimed_from)
+    member = world.members.get(member_id)
+    if member is None or member_id in asked:
+        return
+    if member.phase is MemberPhase.DEAD:
+        return
+    bucket.claimed_from.append(member_id)
+    bucket.awaited.add(member_id)
+    send_message(world, member_id, BucketClaim(bucket.id))
+
+
+def _start_unheld(
+    world: World, bucket: OwnedBucket, outcome: str, now: float
+) -> None:
+    if bucket.is_held:
+        outcome = 'kept'
+    else:
+        # No member has charged calls lately, unless it was this node before its
+        # latest start.
+        bucket.refilled_at = min(now, world.started_at)
+        bucket.created_at = bucket.refilled_at
+    _log_claim(world, bucket, outcome, '', now)
+    _start_serving(world, bucket, now)
+
+
+def _release(
+    world: World, bucket: OwnedBucket, claimant: str, now: float
+) -> None:
+    _log_release(world, bucket, claimant, now)
+    _drop_old_fallback(world, bucket, now)
+    refill(world, bucket, now)
+    release = BucketRelease(
+        bucket.id,
+        bucket.level,
+        bucket.is_held,
+        '' if bucket.is_held else bucket.released_to,
+        bucket.fallback_charged,
+    )
+    bucket.fallback_charged = 0
+    world.quota.owned_buckets.move(bucket, OwnedBucketPhase.UNCLAIMED)
+    bucket.is_held = False
+    bucket.claimant = ''
+    bucket.released_to = claimant
+    bucket.released_at = now
+    bucket.outdated_incarnation = 0
+    member = world.members.get(claimant)
+    if member is not None and member.phase is not MemberPhase.ALIVE:
+        bucket.outdated_incarnation = member.incarnation
+    send_message(world, claimant, release)
+
+
+def _drop_old_fallback(world: World, bucket: OwnedBucket, now: float) -> None:
+    window = world.quota_bounds.window_seconds
+    if now >= bucket.fallback_refilled_at + window:
+        bucket.fallback_charged = 0
+
+
+def _empty(bucket: OwnedBucket, now: float) -> None:
+    bucket.level = 0
+    bucket.refilled_at = now
+    bucket.created_at = now
+
+
+def _log_claim(
+    world: World, bucket: OwnedBucket, outcome: str, previous: str, now: float
+) -> None:
+    world.counters[f'quota.claim.{outcome}'] += 1
+    world.outbox.append(
+        LogDecision(
+            'bucket_claimed',
+            {
+                'organisation': bucket.id,
+                'previous': previous,
+                'asked': list(bucket.claimed_from),
+                'outcome': outcome,
+                'tokens': round(bucket.level, _DECIMALS),
+                'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
+            },
+        ),
+    )
+
+
+def _log_release(
+    world: World, bucket: OwnedBucket, claimant: str, now: float
+) -> None:
+    kind = 'owner' if bucket.is_held else 'other'
+    world.counters[f'quota.release.{kind}'] += 1
+    world.outbox.append(
+        LogDecision(
+            'bucket_released',
+            {
+                'organisation': bucket.id,
+                'claimant': claimant,
+                'was_owner': bucket.is_held,
+                'tokens': round(bucket.level, _DECIMALS),
+                'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
+            },
+        ),
+    )
 
 
 def _start_serving(world: World, bucket: OwnedBucket, now: float) -> None:
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.OWNED)
+    bucket.is_held = True
     _answer_waiting(world, bucket, now)
+    if bucket.claimant:
+        _release(world, bucket, bucket.claimant, now)
 
 
 def _answer_waiting(world: World, bucket: OwnedBucket, now: float) -> None:
     rate = refill(world, bucket, now)
+    bucket.level = max(0, bucket.level - bucket.fallback_charged)
+    bucket.fallback_charged = 0
     requests = bucket.waiting_requests
     bucket.waiting_requests = []
     for sender, request in requests:
@@ -196,6 +313,7 @@
     rate = refill_fallback(world, bucket, now)
     granted = whole_tokens(request.count, bucket.fallback_level)
     bucket.fallback_level -= granted
+    bucket.fallback_charged += granted
     world.counters['quota.fallback'] += granted
     reply = ChargeReply(
         request.request_id,
