--- a/src/figlane/platform/announcements.py
+++ b/src/figlane/platform/announcements.py
@@ -8,7 +8,7 @@
 import msgspec
 import structlog
 
-from figlane.adapters.http_callback_server import ServerConnection
+from figlane.adapters.http_connection import ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 from figlane.entities.inbox import BackendAnnounced
 from figlane.platform.quantities import parse_duration
--- a/src/figlane/platform/callers.py
+++ b/src/figlane/platform/callers.py
@@ -9,10 +9,7 @@
 import msgspec
 
 from figlane.adapters.hop_by_hop import end_to_end_headers
-from figlane.adapters.http_callback_server import (
-    CutOffRequest,
-    ServerConnection,
-)
+from figlane.adapters.http_connection import CutOffRequest, ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 from figlane.clock import current_time
 from figlane.entities.call import Call
--- a/src/figlane/platform/metrics.py
+++ b/src/figlane/platform/metrics.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from figlane.adapters.http_callback_server import ServerConnection
+from figlane.adapters.http_connection import ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 from figlane.entities.world import World
 
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -10,11 +10,9 @@
 from dataclasses import dataclass, field
 
 from figlane.adapters.http_call import call
-from figlane.adapters.http_callback_server import (
-    CallbackHttpServer,
-    ServerConnection,
-)
+from figlane.adapters.http_callback_server import CallbackHttpServer
 from figlane.adapters.http_client import HttpPool
+from figlane.adapters.http_connection import ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 from figlane.entities.http import Headers, Request
 from figlane.settings import split_address
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -12,10 +12,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from figlane.adapters.http_callback_server import (
-    CallbackHttpServer,
-    ServerConnection,
-)
+from figlane.adapters.http_callback_server import CallbackHttpServer
+from figlane.adapters.http_connection import ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 
 _OK = 200
--- a/tests/adapters/empty_answers.py
+++ b/tests/adapters/empty_answers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from figlane.adapters.http_callback_server import ServerConnection
+from figlane.adapters.http_connection import ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 
 _OK = 200
--- a/tests/adapters/test_backend_client.py
+++ b/tests/adapters/test_backend_client.py
@@ -7,10 +7,8 @@
 from unittest import IsolatedAsyncioTestCase
 
 from figlane.adapters.backend_client import BackendClient
-from figlane.adapters.http_callback_server import (
-    CallbackHttpServer,
-    ServerConnection,
-)
+from figlane.adapters.http_callback_server import CallbackHttpServer
+from figlane.adapters.http_connection import ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 from figlane.entities.http import Answer, Request
 from figlane.entities.inbox import BackendFinished
--- a/tests/adapters/test_http_callback_server.py
+++ b/tests/adapters/test_http_callback_server.py
@@ -7,11 +7,8 @@
 import socket
 from unittest import IsolatedAsyncioTestCase
 
-from figlane.adapters.http_callback_server import (
-    CallbackHttpServer,
-    CutOffRequest,
-    ServerConnection,
-)
+from figlane.adapters.http_callback_server import CallbackHttpServer
+from figlane.adapters.http_connection import CutOffRequest, ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 from figlane.entities.cut_off import CutOffReason
 from figlane.entities.ingress import CallerLimits
--- a/tools/soaking/servers.py
+++ b/tools/soaking/servers.py
@@ -10,10 +10,8 @@
 from time import monotonic
 from typing import Any
 
-from figlane.adapters.http_callback_server import (
-    CallbackHttpServer,
-    ServerConnection,
-)
+from figlane.adapters.http_callback_server import CallbackHttpServer
+from figlane.adapters.http_connection import ServerConnection
 from figlane.adapters.request_reader import HttpRequest
 from figlane.platform import headers as names
 from figlane.settings import split_address
