--- a/tests/tools/test_soak_rules.py
+++ b/tests/tools/test_soak_rules.py
@@ -11,7 +11,6 @@
 from tools.soaking import answer_rules, stop_rules
 from tools.soaking.entities import (
     Answer,
-    Bounds,
     Content,
     History,
     NodeProcess,
@@ -104,7 +103,7 @@
 
     def assert_broken(self, *names: str) -> None:
         """Compare the broken rules."""
-        breaches = check_all(self.history, Bounds())
+        breaches = check_all(self.history)
         self.assertEqual([breach.rule for breach in breaches], list(names))
 
 
--- a/tools/soaking/answer_rules.py
+++ b/tools/soaking/answer_rules.py
@@ -7,7 +7,6 @@
 from standins.platform_site import CLASS_BY_NAME
 from tools.soaking.entities import (
     Answer,
-    Bounds,
     History,
     RequestEnd,
     Run,
@@ -20,13 +19,8 @@
 
 
 @rules.register('TWICE')
-def find_double_runs(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find requests that are not idempotent and have run more than once.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_double_runs(history: History) -> Iterator[Breach]:
+    """Find requests that are not idempotent and have run more than once."""
     for row in history.requests_by_id.values():
         count = len(history.runs_of(row.id))
         if count > 1 and not row.is_safe:
@@ -35,13 +29,8 @@
 
 
 @rules.register('REFUSED')
-def find_false_refusals(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find refused requests that are not idempotent and have run.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_false_refusals(history: History) -> Iterator[Breach]:
+    """Find refused requests that are not idempotent and have run."""
     for row in history.requests_by_id.values():
         if row.is_safe or row.answer is None:
             continue
@@ -51,13 +40,8 @@
 
 
 @rules.register('MIXED')
-def find_mixed_answers(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find answers that are not the server's whole answer to the request.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_mixed_answers(history: History) -> Iterator[Breach]:
+    """Find answers that are not the server's whole answer to the request."""
     for row in history.requests_by_id.values():
         if row.answer is None:
             continue
@@ -67,13 +51,8 @@
 
 
 @rules.register('UNASKED')
-def find_unasked_runs(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find runs that nobody asked for, or whose content was changed.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_unasked_runs(history: History) -> Iterator[Breach]:
+    """Find runs that nobody asked for, or whose content was changed."""
     for run in history.runs_by_id.values():
         row = history.requests_by_id.get(run.request_id)
         if row is None:
@@ -84,13 +63,8 @@
 
 
 @rules.register('ROUTE')
-def find_wrong_services(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find runs at a service to which the route does not lead.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_wrong_services(history: History) -> Iterator[Breach]:
+    """Find runs at a service to which the route does not lead."""
     for run in history.runs_by_id.values():
         row = history.requests_by_id.get(run.request_id)
         if row and CLASS_BY_NAME[row.route].service != run.service:
--- a/tools/soaking/disturbances.py
+++ b/tools/soaking/disturbances.py
@@ -109,22 +109,14 @@
 
 
 @disturbances.register('stop')
-def draw_stop(draw: Draw) -> list[Step]:
-    """Stop a node, which is started again.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_stop(draw: Draw) -> list[Step]:
+    """Stop a node, which is started again."""
     return [draw.signal(draw.now, draw.vm(), signal.SIGTERM)]
 
 
 @disturbances.register('repeated-stop')
-def draw_repeated_stop(draw: Draw) -> list[Step]:
-    """Stop a node with two or three signals.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_repeated_stop(draw: Draw) -> list[Step]:
+    """Stop a node with two or three signals."""
     vm = draw.vm()
     count = draw.source.randint(1, 2)
     repeats = [draw.after(_SOON, 4) for _ in range(count)]
@@ -132,12 +124,8 @@
 
 
 @disturbances.register('overlapping-stops')
-def draw_overlapping_stops(draw: Draw) -> list[Step]:
-    """Stop several nodes whose grace periods overlap.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_overlapping_stops(draw: Draw) -> list[Step]:
+    """Stop several nodes whose grace periods overlap."""
     names = sorted(draw.service_by_vm)
     count = draw.source.randint(2, max(2, len(names) // 3))
     return [
@@ -147,12 +135,8 @@
 
 
 @disturbances.register('stop-while-starting')
-def draw_stop_while_starting(draw: Draw) -> list[Step]:
-    """Stop a node, and again while its next process is starting.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_stop_while_starting(draw: Draw) -> list[Step]:
+    """Stop a node, and again while its next process is starting."""
     vm = draw.vm()
     seconds = draw.source.uniform(_SOON, 4)
     return [
@@ -162,12 +146,8 @@
 
 
 @disturbances.register('reload')
-def draw_reload(draw: Draw) -> list[Step]:
-    """Send SIGHUP before and during a stop.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_reload(draw: Draw) -> list[Step]:
+    """Send SIGHUP before and during a stop."""
     vm = draw.vm()
     stop_at = draw.after(_SOON, 2)
     return [
@@ -178,7 +158,7 @@
 
 
 @disturbances.register('removal')
-def draw_removal(draw: Draw) -> list[Step]:
+def _draw_removal(draw: Draw) -> list[Step]:
     """Remove a VM: its backend server leaves, then its node is stopped.
 
     Some servers withdraw their announcement without a drain before it.
@@ -202,7 +182,7 @@
 
 
 @disturbances.register('addition')
-def draw_addition(draw: Draw) -> list[Step]:
+def _draw_addition(draw: Draw) -> list[Step]:
     """Add a VM with a node and a backend server.
 
     :param draw: the state of the draw.
@@ -216,12 +196,8 @@
 
 
 @disturbances.register('slow-servers')
-def draw_slow_servers(draw: Draw) -> list[Step]:
-    """Slow down the servers of a service while nodes stop.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_slow_servers(draw: Draw) -> list[Step]:
+    """Slow down the servers of a service while nodes stop."""
     service = draw.source.choice(sorted(set(draw.service_by_vm.values())))
     names = sorted(draw.service_by_vm)
     vms = draw.source.sample(names, max(2, len(names) // _STOPPED_PART))
@@ -237,12 +213,8 @@
 
 
 @disturbances.register('freeze')
-def draw_freeze(draw: Draw) -> list[Step]:
-    """Suspend a node for up to 2 s.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_freeze(draw: Draw) -> list[Step]:
+    """Suspend a node for up to 2 s."""
     vm = draw.vm()
     return [
         draw.signal(draw.now, vm, signal.SIGSTOP),
@@ -251,12 +223,8 @@
 
 
 @disturbances.register('busy')
-def draw_busy(draw: Draw) -> list[Step]:
-    """Keep processor cores busy while a node stops.
-
-    :param draw: the state of the draw.
-    :return: the steps.
-    """
+def _draw_busy(draw: Draw) -> list[Step]:
+    """Keep processor cores busy while a node stops."""
     return [
         Step(
             draw.now,
--- a/tools/soaking/entities.py
+++ b/tools/soaking/entities.py
@@ -169,12 +169,13 @@
 
 @dataclass(slots=True)
 class History:
-    """The tables of one run.
+    """The tables of one run, and the bounds of its rules.
 
     ``max_lag`` is the largest delay of the event loop that runs the callers and
     the backend servers.
     """
 
+    bounds: Bounds = field(default_factory=Bounds)
     requests_by_id: dict[str, SentRequest] = field(default_factory=dict)
     runs_by_id: dict[int, Run] = field(default_factory=dict)
     run_ids_by_request_id: dict[str, list[int]] = field(default_factory=dict)
--- a/tools/soaking/excuses.py
+++ b/tools/soaking/excuses.py
@@ -23,33 +23,27 @@
 _LAST_PART = 6
 
 
-def planned_work_at(
-    history: History, bounds: Bounds, row: SentRequest
-) -> float | None:
+def planned_work_at(history: History, row: SentRequest) -> float | None:
     """Find the planned work of the request's node around its end.
 
     :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
     :param row: a request that has ended.
     :return: the time of the signal, None if there was no planned work.
     """
-    stopped_at = stop_at(history, bounds, row.process_id, row.ended_at)
+    stopped_at = stop_at(history, row.process_id, row.ended_at)
     if stopped_at is not None:
         return stopped_at
     for at in history.signal_times(row.process_id, signal.SIGHUP):
-        is_sent_early = row.sent_at <= at + bounds.config_apply
+        is_sent_early = row.sent_at <= at + history.bounds.config_apply
         if is_sent_early and row.ended_at >= at:
             return at
     return None
 
 
-def stop_at(
-    history: History, bounds: Bounds, process_id: int, now: float
-) -> float | None:
+def stop_at(history: History, process_id: int, now: float) -> float | None:
     """Find the planned stop of a process around a moment.
 
     :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
     :param process_id: id of the process row.
     :param now: the moment.
     :return: the time of the first SIGTERM, None if there is no stop.
@@ -57,17 +51,16 @@
     times = history.signal_times(process_id, signal.SIGTERM)
     if not times:
         return None
-    ends_at = times[0] + bounds.grace + _AFTER_GRACE_SECONDS
+    ends_at = times[0] + history.bounds.grace + _AFTER_GRACE_SECONDS
     return times[0] if times[0] <= now <= ends_at else None
 
 
 def is_excused(
-    history: History, bounds: Bounds, row: SentRequest, stopped_at: float | None
+    history: History, row: SentRequest, stopped_at: float | None
 ) -> bool:
     """Tell whether a request that was cut off does not count.
 
     :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
     :param row: the request.
     :param stopped_at: time of the SIGTERM, if there was one.
     :return: True if the server broke off, the time limit was reached, the work
@@ -77,10 +70,10 @@
     return (
         any(run.end is RunEnd.BROKE_OFF for run in runs)
         or row.ended_at - row.began_at >= row.time_limit
-        or _is_impaired(history, bounds, row, runs)
+        or _is_impaired(history, row, runs)
         or (
             stopped_at is not None
-            and _is_long_work(bounds, row, runs, stopped_at)
+            and _is_long_work(history.bounds, row, runs, stopped_at)
         )
     )
 
@@ -114,16 +107,14 @@
     return row.ended_at >= last_part_at and max(ends, default=0) >= last_part_at
 
 
-def _is_impaired(
-    history: History, bounds: Bounds, row: SentRequest, runs: list[Run]
-) -> bool:
+def _is_impaired(history: History, row: SentRequest, runs: list[Run]) -> bool:
     vms = {row.vm, *(run.vm for run in runs)}
-    since = row.sent_at - bounds.stable_window
+    since = row.sent_at - history.bounds.stable_window
     return any(
         process.vm in vms
         and (
             is_frozen(history, process.id, since, row.ended_at)
-            or _is_killed(history, bounds, process, since, row.ended_at)
+            or _is_killed(history, process, since, row.ended_at)
         )
         for process in history.processes_by_id.values()
     )
@@ -131,13 +122,13 @@
 
 def _is_killed(
     history: History,
-    bounds: Bounds,
     process: NodeProcess,
     since: float,
     until: float,
 ) -> bool:
     stops = history.signal_times(process.id, signal.SIGTERM)
     return any(
-        since <= at <= until and (not stops or at < stops[0] + bounds.grace)
+        since <= at <= until
+        and (not stops or at < stops[0] + history.bounds.grace)
         for at in history.signal_times(process.id, signal.SIGKILL)
     )
--- a/tools/soaking/fleet.py
+++ b/tools/soaking/fleet.py
@@ -195,33 +195,21 @@
 
 
 @actions.register('signal')
-async def send_signal(fleet: Fleet, step: Step) -> None:
-    """Send a signal to a node.
-
-    :param fleet: the VMs.
-    :param step: the step.
-    """
+async def _send_signal(fleet: Fleet, step: Step) -> None:
+    """Send a signal to a node."""
     fleet.vms_by_name[step.target].node.send_signal(step.number)
 
 
 @actions.register('signal-next')
-async def signal_next_process(fleet: Fleet, step: Step) -> None:
-    """Send a signal to the next process of a node, soon after its start.
-
-    :param fleet: the VMs.
-    :param step: the step.
-    """
+async def _signal_next_process(fleet: Fleet, step: Step) -> None:
+    """Send a signal to the next process of a node, soon after its start."""
     state = fleet.vms_by_name[step.target].node.state
     state.signals_after_start.append((step.seconds, step.number))
 
 
 @actions.register('remove')
-async def remove_vm(fleet: Fleet, step: Step) -> None:
-    """Remove a VM: the backend server ends before the node gets SIGTERM.
-
-    :param fleet: the VMs.
-    :param step: the step.
-    """
+async def _remove_vm(fleet: Fleet, step: Step) -> None:
+    """Remove a VM: the backend server ends before the node gets SIGTERM."""
     vm = fleet.vms_by_name[step.target]
     await vm.server.leave(step.seconds, is_abrupt=bool(step.number))
     vm.node.state.is_wanted = False
@@ -229,22 +217,14 @@
 
 
 @actions.register('add')
-async def add_vm(fleet: Fleet, step: Step) -> None:
-    """Add a VM.
-
-    :param fleet: the VMs.
-    :param step: the step.
-    """
+async def _add_vm(fleet: Fleet, step: Step) -> None:
+    """Add a VM."""
     await fleet.add(fleet.spares_by_name[step.target], first_start=False)
 
 
 @actions.register('slow')
-async def slow_servers(fleet: Fleet, step: Step) -> None:
-    """Slow down the backend servers of a service for some seconds.
-
-    :param fleet: the VMs.
-    :param step: the step.
-    """
+async def _slow_servers(fleet: Fleet, step: Step) -> None:
+    """Slow down the backend servers of a service for some seconds."""
     factors = fleet.slowdowns.factor_by_service
     factors[step.target] = step.factor
     await asyncio.sleep(step.seconds)
@@ -252,12 +232,8 @@
 
 
 @actions.register('busy')
-async def keep_busy(fleet: Fleet, step: Step) -> None:
-    """Run processes that compute; they end by themselves.
-
-    :param fleet: the VMs.
-    :param step: the step.
-    """
+async def _keep_busy(fleet: Fleet, step: Step) -> None:
+    """Run processes that compute; they end by themselves."""
     started = [
         await asyncio.create_subprocess_exec(
             sys.executable, '-c', _BUSY_CODE, str(step.seconds)
--- a/tools/soaking/main.py
+++ b/tools/soaking/main.py
@@ -27,7 +27,7 @@
 from tools.soaking import answer_rules, stop_rules  # registers them
 from tools.soaking.callers import MANNERS
 from tools.soaking.disturbances import Draw, disturbances, draw_steps
-from tools.soaking.entities import Bounds, History
+from tools.soaking.entities import History
 from tools.soaking.fleet import Fleet, Load, perform_steps
 from tools.soaking.processes import ProcessPlan
 from tools.soaking.report import report
@@ -170,12 +170,11 @@
 
 async def _run(seed: int, options: Options, folder: Path, network: str) -> int:
     loop = asyncio.get_running_loop()
-    bounds = Bounds()
     store = PlatformStore(loop)
     address = f'{network}.2:{PORT_BY_USE["store"]}'
     await store.server.start(*split_address(address))
     store.table.write('config', 'main', configuration())
-    plan = ProcessPlan(options.node_root, folder, address, bounds)
+    plan = ProcessPlan(options.node_root, folder, address)
     fleet = Fleet(History(), plan, seed)
     fleet.spares_by_name = _site_vms(network, _DEFAULT_VMS, _SPARE_VMS)
     fleet.start_task(fleet.measure_lag())
@@ -196,7 +195,7 @@
     await asyncio.sleep(_SPREAD_SECONDS)
     started_at = monotonic()
     await _disturb(seed, options, fleet)
-    breaches = check_all(fleet.history, fleet.plan.bounds)
+    breaches = check_all(fleet.history)
     _print(report(seed, fleet.history, breaches, started_at))
     return _EXIT_BROKEN if breaches else _EXIT_OK
 
--- a/tools/soaking/processes.py
+++ b/tools/soaking/processes.py
@@ -14,7 +14,7 @@
 
 from figlane.settings import split_address
 from standins.platform_site import SiteVm, node_settings
-from tools.soaking.entities import Bounds, History, NodeProcess
+from tools.soaking.entities import History, NodeProcess
 
 _RESTART_SECONDS = 0.5
 _START_POLL_SECONDS = 0.01
@@ -34,7 +34,6 @@
     node_root: Path
     folder: Path
     store: str
-    bounds: Bounds
 
 
 @dataclass(slots=True)
@@ -123,7 +122,7 @@
         self._history.add_signal(row.id, number, monotonic())
         if number == signal.SIGTERM and is_first:
             self.state.is_stopping = True
-            self._call_later(self._plan.bounds.grace, self._kill, row.id)
+            self._call_later(self._history.bounds.grace, self._kill, row.id)
 
     async def end(self) -> None:
         """End the process at once and start no other one."""
@@ -175,7 +174,7 @@
         plan = self._plan
         settings = plan.folder / f'{self.vm.name}.yaml'
         tables = node_settings(
-            self.vm, plan.store, first_start, plan.bounds.grace
+            self.vm, plan.store, first_start, self._history.bounds.grace
         )
         settings.write_text(json.dumps(tables), encoding='utf-8')
         environment = {
--- a/tools/soaking/rules.py
+++ b/tools/soaking/rules.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from figlane.registry import Registry
-from tools.soaking.entities import Bounds, History
+from tools.soaking.entities import History
 
 
 @dataclass(slots=True)
@@ -23,19 +23,16 @@
     process_ids: tuple[int, ...] = ()
 
 
-Rule = Callable[[History, Bounds], Iterator[Breach]]
+Rule = Callable[[History], Iterator[Breach]]
 rules: Registry[Rule] = Registry('rule')
 
 
-def check_all(history: History, bounds: Bounds) -> list[Breach]:
+def check_all(history: History) -> list[Breach]:
     """Check all rules.
 
     :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
     :return: the breaches, rule by rule.
     """
     return [
-        breach
-        for rule in rules.by_key.values()
-        for breach in rule(history, bounds)
+        breach for rule in rules.by_key.values() for breach in rule(history)
     ]
--- a/tools/soaking/stop_rules.py
+++ b/tools/soaking/stop_rules.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator
 
 from tools.soaking.entities import (
-    Bounds,
     History,
     RequestEnd,
     Run,
@@ -23,17 +22,12 @@
 
 
 @rules.register('LOST')
-def find_lost(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find requests whose connection ended without a complete answer.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_lost(history: History) -> Iterator[Breach]:
+    """Find requests whose connection ended without a complete answer."""
     for row in history.requests_by_id.values():
-        if not _is_cut_off(history, bounds, row):
+        if not _is_cut_off(history, row):
             continue
-        began_at = planned_work_at(history, bounds, row)
+        began_at = planned_work_at(history, row)
         text = 'closed by a node that keeps running'
         if began_at is not None:
             after = row.ended_at - began_at
@@ -42,34 +36,24 @@
 
 
 @rules.register('LOST by own answer')
-def find_replaced_answers(history: History, bounds: Bounds) -> Iterator[Breach]:
+def _find_replaced_answers(history: History) -> Iterator[Breach]:
     """Find answers of a node after a SIGTERM while a server is at work.
 
     The SIGTERM may be that of the node that took the request or of the node
-    beside the server.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+    beside the server."""
     for row in history.requests_by_id.values():
         answer = row.answer
         if answer is None or answer.sealed_id or answer.is_success:
             continue
-        for run in _replaced_runs(history, bounds, row):
+        for run in _replaced_runs(history, row):
             ids = _processes_of(history, row, run)
             text = f'{answer.status} in place of run {run.id}'
             yield Breach('LOST', text, row.id, ids)
 
 
 @rules.register('ENDED')
-def find_failed_processes(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find processes that ended by themselves or with a failure.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_failed_processes(history: History) -> Iterator[Breach]:
+    """Find processes that ended by themselves or with a failure."""
     for process in history.processes_by_id.values():
         if process.exit_code is None:
             continue
@@ -86,57 +70,47 @@
 
 
 @rules.register('GRACE')
-def find_late_ends(history: History, bounds: Bounds) -> Iterator[Breach]:
-    """Find processes that still run at the end of their grace period.
-
-    :param history: the tables of the run.
-    :param bounds: the bounds of the rules.
-    :yield: the breaches.
-    """
+def _find_late_ends(history: History) -> Iterator[Breach]:
+    """Find processes that still run at the end of their grace period."""
     for process in history.processes_by_id.values():
         stops = history.signal_times(process.id, signal.SIGTERM)
-        if not stops or process.ended_at <= stops[0] + bounds.grace:
+        if not stops or process.ended_at <= stops[0] + history.bounds.grace:
             continue
         is_killed = any(history.signal_times(process.id, signal.SIGKILL))
-        end = stops[0] + bounds.grace
+        end = stops[0] + history.bounds.grace
         if is_killed and not is_frozen(history, process.id, stops[0], end):
-            text = f'still there {bounds.grace} s after SIGTERM'
+            text = f'still there {history.bounds.grace} s after SIGTERM'
             yield Breach('GRACE', text, process_ids=(process.id,))
 
 
-def _is_cut_off(history: History, bounds: Bounds, row: SentRequest) -> bool:
+def _is_cut_off(history: History, row: SentRequest) -> bool:
     if row.end not in {RequestEnd.CLOSED, RequestEnd.GARBLED}:
         return False
-    is_planned = planned_work_at(history, bounds, row) is not None
-    is_slow = row.ended_at - row.sent_at > bounds.loss_slack
+    is_planned = planned_work_at(history, row) is not None
+    is_slow = row.ended_at - row.sent_at > history.bounds.loss_slack
     if not history.runs_of(row.id) and not (is_planned and is_slow):
         return False
-    stopped_at = stop_at(history, bounds, row.process_id, row.ended_at)
-    return not is_excused(history, bounds, row, stopped_at)
+    stopped_at = stop_at(history, row.process_id, row.ended_at)
+    return not is_excused(history, row, stopped_at)
 
 
-def _replaced_runs(
-    history: History, bounds: Bounds, row: SentRequest
-) -> list[Run]:
+def _replaced_runs(history: History, row: SentRequest) -> list[Run]:
     if row.end is not RequestEnd.ANSWERED:
         return []
     return [
         run
         for run in history.runs_of(row.id)
-        if _is_broken_off(run, row.ended_at)
-        and _is_planned(history, bounds, row, run)
+        if _is_broken_off(run, row.ended_at) and _is_planned(history, row, run)
     ]
 
 
-def _is_planned(
-    history: History, bounds: Bounds, row: SentRequest, run: Run
-) -> bool:
+def _is_planned(history: History, row: SentRequest, run: Run) -> bool:
     stops = [
-        stop_at(history, bounds, process_id, row.ended_at)
+        stop_at(history, process_id, row.ended_at)
         for process_id in _processes_of(history, row, run)
     ]
     began = [at for at in stops if at is not None]
-    return bool(began) and not is_excused(history, bounds, row, min(began))
+    return bool(began) and not is_excused(history, row, min(began))
 
 
 def _is_broken_off(run: Run, answered_at: float) -> bool:
