--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -161,6 +161,13 @@
         if task is not None:
             task.cancel()
 
+    def set_cold(self, seconds: float) -> None:
+        """Announce that the server is cold for some more seconds.
+
+        :param seconds: the rest of the cold start, 0 for a warm server.
+        """
+        self.cold_remaining = f'{int(seconds * _MS_PER_SECOND)}ms'
+
     async def announce(self, control: str) -> int:
         """Send one announcement to the node.
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -4,7 +4,8 @@
 
 import math
 import random
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 from typing import Any
 
@@ -12,9 +13,11 @@
 HEALTH_PATH = '/health'
 # Header of a backend server's answers that proves where they come from.
 SEAL = b'figlane-response-seal'
+# Kind of the objects that take failure domains out of service.
+TAKEN_OUT_KIND = 'evacuations'
 DOMAINS = ('lhr-a', 'lhr-b', 'fsd-a', 'mul-a')
 _REGION = 'pk-punjab'
-_SERVICES = ('fitter-directory', 'deposits', 'tracings', 'bookings')
+SERVICES = ('fitter-directory', 'deposits', 'tracings', 'bookings')
 _SLOTS_BY_SERVICE = MappingProxyType(
     {
         'fitter-directory': 89,
@@ -37,9 +40,16 @@
     ('lhr-b', 'fitter-directory'),
     ('fsd-a', 'fitter-directory'),
 )
+_ROUTE_COLUMNS = (
+    'name host path_prefix kind timeout priority max_attempts '
+    'allow_anonymous service'
+)
 KEY_BY_ORGANISATION = MappingProxyType(
     {f'org-{number}': f'key-{number}' for number in range(8)}
 )
+# Of a backend server that is added under load.
+COLD_SECONDS = 3.0
+COLD_PER_SECOND = 20.0
 PORT_BY_USE = MappingProxyType(
     {
         'control': 8540,
@@ -118,7 +128,7 @@
         return self.kind != 'unsafe'
 
 
-CLASSES = (
+_FIRST_CLASSES = (
     RequestClass(
         'fitter-lookup',
         'fitter-directory',
@@ -200,7 +210,16 @@
         Work(0.03, 0.5, 0, 1, 0.18),
     ),
 )
+# Classes whose routes are added, moved and removed under load.
+ADDED = tuple(
+    replace(_FIRST_CLASSES[3], name=f'added-{number}', share=0.3)
+    for number in range(3)
+)
+CLASSES = _FIRST_CLASSES + ADDED
 CLASS_BY_NAME = MappingProxyType({entry.name: entry for entry in CLASSES})
+SERVICE_BY_ROUTE = MappingProxyType(
+    {entry.name: entry.service for entry in CLASSES if entry not in ADDED}
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -247,7 +266,7 @@
     width = len(DOMAINS)
     first = width * width
     domain = DOMAINS[(index + 2 * (index // width)) % width]
-    service = _SERVICES[index % width]
+    service = SERVICES[index % width]
     if first <= index < first + len(_MORE_VMS):
         domain, service = _MORE_VMS[index - first]
     speeds = _SPEEDS_BY_SERVICE[service]
@@ -261,9 +280,13 @@
     )
 
 
-def configuration() -> dict[str, Any]:
+def configuration(
+    version: int, service_by_route: Mapping[str, str]
+) -> dict[str, Any]:
     """Build the operators' configuration.
 
+    :param version: its version.
+    :param service_by_route: its routes, which are names of classes.
     :return: the content of the configuration object.
     """
     routes = [
@@ -276,29 +299,23 @@
             0 if entry.name == 'deposit-charge' else 2,
             2,
             not entry.share,
-            entry.service,
+            service_by_route[entry.name],
         ]
         for entry in CLASSES
+        if entry.name in service_by_route
     ]
     return {
-        'version': 1,
+        'version': version,
         'routes': {
-            'columns': [
-                'name',
-                'host',
-                'path_prefix',
-                'kind',
-                'timeout',
-                'priority',
-                'max_attempts',
-                'allow_anonymous',
-                'service',
-            ],
+            'columns': _ROUTE_COLUMNS.split(),
             'rows': routes,
         },
         'services': {
             'columns': ['name', 'cold_start', 'cold_per_s', 'health_path'],
-            'rows': [[name, '3s', 20.0, HEALTH_PATH] for name in _SERVICES],
+            'rows': [
+                [name, f'{COLD_SECONDS}s', COLD_PER_SECOND, HEALTH_PATH]
+                for name in SERVICES
+            ],
         },
         'tenants': {
             'columns': ['name', 'api_keys', 'rate_per_s', 'burst'],
--- a/tests/tools/test_soak_disturbances.py
+++ b/tests/tools/test_soak_disturbances.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from standins.platform_site import site_vm
+from tools.soaking.changes import changes
 from tools.soaking.disturbances import (
     Draw,
     Step,
@@ -31,6 +32,10 @@
     def test_all_disturbances_are_drawn(self) -> None:
         """Each action is drawn, and each drawn action is known."""
         drawn = {step.action for seed in _SEEDS for step in _steps(seed)}
+        for seed in _SEEDS:
+            chosen = list(changes.by_key.values())
+            steps = draw_steps(_draw(seed), chosen, _SECONDS)
+            drawn |= {step.action for step in steps}
         self.assertEqual(drawn, set(actions.by_key))
 
     def test_suspended_nodes_continue(self) -> None:
@@ -50,7 +55,7 @@
         """Removals leave two VMs of each service."""
         for seed in _SEEDS:
             draw = _draw(seed)
-            draw_steps(draw, ['removal'], _SECONDS)
+            draw_steps(draw, [disturbances.find('removal')], _SECONDS)
             counts = Counter(draw.service_by_vm.values())
             self.assertEqual(len(counts), 4)
             self.assertGreaterEqual(min(counts.values()), 2)
@@ -72,6 +77,7 @@
 
 
 def _steps(seed: int, names: list[str] | None = None) -> list[Step]:
-    return draw_steps(
-        _draw(seed), names or sorted(disturbances.by_key), _SECONDS
-    )
+    chosen = [
+        disturbances.find(name) for name in names or sorted(disturbances.by_key)
+    ]
+    return draw_steps(_draw(seed), chosen, _SECONDS)
--- a/tests/tools/test_soak_rules.py
+++ b/tests/tools/test_soak_rules.py
@@ -8,20 +8,22 @@
 from typing import Any
 
 from figlane.entities.table import NEVER
-from tools.soaking import answer_rules, stop_rules
+from tools.soaking import answer_rules, deployment_rules, stop_rules
 from tools.soaking.entities import (
     Answer,
     Content,
+    DomainDrain,
     History,
     NodeProcess,
     RequestEnd,
     Run,
     RunEnd,
     SentRequest,
+    Version,
 )
 from tools.soaking.rules import check_all
 
-REGISTERED_MODULES = (answer_rules, stop_rules)
+REGISTERED_MODULES = (answer_rules, deployment_rules, stop_rules)
 _CONTENT = Content('DELETE', '/visit-confirm/r', b'', 'tracings', 'org-1')
 _ENTRY = 1
 _EXIT = 2
@@ -35,11 +37,18 @@
     def setUp(self) -> None:
         """Create a run without requests."""
         self.history = History()
+        self.configure(0, 'bookings')
         for process_id, vm in ((_ENTRY, 'a'), (_EXIT, 'b'), (_OTHER, 'c')):
             self.history.processes_by_id[process_id] = NodeProcess(
                 process_id, vm, 0, f'{vm}.log', 0
             )
 
+    def configure(self, at: float, service: str) -> None:
+        """Write a version of the configuration, '' removes the route."""
+        versions = self.history.versions
+        services = {'visit-confirm': service} if service else {}
+        versions.append(Version(len(versions) + 1, at, services))
+
     def signal(self, number: int, at: float, process_id: int = _ENTRY) -> None:
         """Send a signal."""
         self.history.add_signal(process_id, number, at)
@@ -369,6 +378,190 @@
         self.assert_broken('ROUTE')
 
 
+class ConfigurationTest(HistoryTest):
+    """Routes that are added, moved and removed by new versions."""
+
+    def handle(self, sent_at: float, *services: str, status: int = 0) -> None:
+        """Run the request at servers, or let its node answer it."""
+        self.history.runs_by_id.clear()
+        self.history.run_ids_by_request_id.clear()
+        for service in services:
+            self.run_at_server(sent_at + 0.1, service=service)
+        end = RequestEnd.ANSWERED if status else RequestEnd.TIME_LIMIT
+        answer = Answer(status) if status else None
+        self.send(sent_at, sent_at + 1, end=end, answer=answer)
+
+    def test_run_by_old_service(self) -> None:
+        """The old service counts later than 2 s after the ack."""
+        self.configure(50, 'deposits')
+        self.handle(52, 'bookings')
+        self.assert_broken()
+        self.handle(52.01, 'bookings')
+        self.assert_broken('CONFIG')
+        self.handle(52.01, 'deposits')
+        self.assert_broken()
+
+    def test_run_of_removed_route(self) -> None:
+        """A run of a route that has been removed counts."""
+        self.configure(50, '')
+        self.handle(52.01, 'bookings')
+        self.assert_broken('CONFIG')
+        self.handle(52.01, status=404)
+        self.assert_broken()
+
+    def test_denial_of_added_route(self) -> None:
+        """A denial counts once the route is there, also as 401 and 403."""
+        self.history.versions.clear()
+        self.configure(0, '')
+        self.configure(50, 'bookings')
+        self.handle(51.9, status=404)
+        self.assert_broken()
+        for status in (401, 403, 404):
+            self.handle(52.01, status=status)
+            self.assert_broken('CONFIG')
+        self.handle(52.01, status=503)
+        self.assert_broken()
+
+    def test_changes_in_series(self) -> None:
+        """Each version since the last one that must be in force is allowed."""
+        self.configure(50, 'deposits')
+        self.configure(51, 'tracings')
+        self.handle(52.9, 'deposits')
+        self.assert_broken()
+        self.handle(53.1, 'deposits')
+        self.assert_broken('CONFIG')
+
+    def test_out_of_touch(self) -> None:
+        """A node counts if nothing has disturbed it for 3 s."""
+        self.configure(50, 'deposits')
+        self.handle(60, 'bookings')
+        self.history.processes_by_id[_ENTRY].started_at = 57.1
+        self.assert_broken()
+        self.history.processes_by_id[_ENTRY].started_at = 57
+        self.assert_broken('CONFIG')
+        self.signal(signal.SIGSTOP, 56)
+        self.signal(signal.SIGCONT, 57)
+        self.assert_broken()
+        self.history.signals_by_id.clear()
+        self.signal(signal.SIGTERM, 60.9)
+        self.assert_broken()
+
+    def test_return_to_older_version(self) -> None:
+        """What a node has applied stays in force, also out of touch."""
+        self.configure(50, 'deposits')
+        self.signal(signal.SIGTERM, 51.5)
+        self.handle(51, 'bookings')
+        self.assert_broken()
+        first = self.history.requests_by_id['r']
+        run = Run(9, 'first', 'i-b', 'b', 'deposits', _CONTENT, 50.7)
+        self.history.add_run(run)
+        self.history.requests_by_id['first'] = dataclasses.replace(
+            first, id='first', sent_at=50.6
+        )
+        self.assert_broken('CONFIG')
+        run.started_at = 50.76
+        self.assert_broken()
+
+    def test_denial_by_all_versions(self) -> None:
+        """A denial that no version allows counts from any node."""
+        self.configure(50, 'deposits')
+        self.signal(signal.SIGTERM, 50)
+        for status in (401, 403, 404):
+            self.handle(51, status=status)
+            self.assert_broken('DENIED')
+
+    def test_service_of_no_version(self) -> None:
+        """A service that only a later version names counts."""
+        self.configure(50, 'deposits')
+        self.handle(49.5, 'deposits')
+        self.assert_broken('ROUTE')
+        first = self.history.requests_by_id['r']
+        self.history.requests_by_id['later'] = dataclasses.replace(
+            first, id='later', sent_at=49.9, ended_at=49.95
+        )
+        self.history.add_run(
+            Run(9, 'later', 'i-b', 'b', 'bookings', _CONTENT, 49.92)
+        )
+        self.assert_broken('ROUTE')
+
+
+class ServerTest(HistoryTest):
+    """Backend servers that leave or are cold."""
+
+    def run_many(self, count: int, started_at: float, **changes: Any) -> None:
+        """Run requests that are idempotent, 10 ms after they were sent."""
+        for number in range(count):
+            self.run_at_server(started_at, **changes)
+        self.send(
+            started_at - 0.01,
+            started_at + 1,
+            end=RequestEnd.TIME_LIMIT,
+            is_safe=True,
+        )
+
+    def test_run_after_drain(self) -> None:
+        """A run later than 2 s after the ack counts."""
+        self.history.left_at_by_instance['i-b'] = 50
+        self.run_many(1, 52)
+        self.assert_broken()
+        self.run_many(1, 52.01)
+        self.assert_broken('DRAIN')
+
+    def test_drain_by_nodes_out_of_touch(self) -> None:
+        """The node that took the request and the server's must be in touch."""
+        self.history.left_at_by_instance['i-b'] = 50
+        self.run_many(1, 55)
+        for process_id in (_ENTRY, _EXIT):
+            self.history.processes_by_id[process_id].started_at = 53
+            self.assert_broken()
+            self.history.processes_by_id[process_id].started_at = 0
+        self.assert_broken('DRAIN')
+
+    def test_run_in_drained_domain(self) -> None:
+        """A run later than 5 s after the ack counts until the drain's end."""
+        self.history.domain_by_vm['b'] = 'domain'
+        drain = DomainDrain('domain', 50)
+        self.history.domain_drains.append(drain)
+        self.run_many(1, 55)
+        self.assert_broken()
+        self.run_many(1, 55.01)
+        self.assert_broken('EVAC')
+        drain.ended_at = 55.01
+        self.assert_broken()
+        drain.ended_at = 56
+        self.history.processes_by_id[_ENTRY].started_at = 53
+        self.assert_broken()
+        self.history.processes_by_id[_ENTRY].started_at = 0
+        self.history.domain_by_vm['b'] = 'other'
+        self.assert_broken()
+
+    def test_cold_server(self) -> None:
+        """A cold server gets 35 requests in one second at most."""
+        self.run_many(35, 50, is_cold=True)
+        self.assert_broken()
+        self.run_many(1, 50.9, is_cold=False)
+        self.run_many(1, 50.9, instance='i-c', is_cold=True)
+        self.send(49.99, 51, end=RequestEnd.TIME_LIMIT, is_safe=True)
+        self.assert_broken()
+        self.run_at_server(50.9, is_cold=True)
+        self.assert_broken('FAILBACK')
+        self.send(49.89, 51, end=RequestEnd.TIME_LIMIT, is_safe=True)
+        self.assert_broken()
+
+    def test_ready_after_stop(self) -> None:
+        """Two nodes, and over a quarter, must not count as ready 4 s later."""
+        processes = self.history.processes_by_id
+        for process_id in range(4, 9):
+            processes[process_id] = NodeProcess(process_id, 'd', 0, 'd.log', 0)
+        for process in processes.values():
+            process.is_ready_at_stop = True
+        processes[_ENTRY].is_ready_after_stop = True
+        processes[_EXIT].is_ready_after_stop = True
+        self.assert_broken()
+        processes[_OTHER].is_ready_after_stop = True
+        self.assert_broken('DRAIN', 'DRAIN', 'DRAIN')
+
+
 class ProcessTest(HistoryTest):
     """Ends of processes."""
 
--- a/tools/soaking/answer_rules.py
+++ b/tools/soaking/answer_rules.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterator
 
-from standins.platform_site import CLASS_BY_NAME
 from tools.soaking.entities import (
     Answer,
     History,
@@ -62,16 +61,6 @@
             yield Breach('UNASKED', text, row.id, (row.process_id,))
 
 
-@rules.register('ROUTE')
-def _find_wrong_services(history: History) -> Iterator[Breach]:
-    """Find runs at a service to which the route does not lead."""
-    for run in history.runs_by_id.values():
-        row = history.requests_by_id.get(run.request_id)
-        if row and CLASS_BY_NAME[row.route].service != run.service:
-            text = f'run {run.id} at {run.service}'
-            yield Breach('ROUTE', text, row.id, (row.process_id,))
-
-
 def _mixed_text(row: SentRequest, answer: Answer, runs: list[Run]) -> str:
     if row.end is RequestEnd.GARBLED:
         return 'bytes that are no response'
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -5,10 +5,13 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+from time import monotonic
 
 from standins.platform_site import (
+    CLASS_BY_NAME,
     CLASSES,
     KEY_BY_ORGANISATION,
     RequestClass,
@@ -40,7 +43,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Manner:
-    """How a caller uses connections.
+    """What a caller asks for, and how it uses connections.
 
     ``clings``: it goes on sending on an open connection to a node that is out,
     and sends more often while the node stops.
@@ -49,8 +52,12 @@
     keeps_connections: bool = True
     clings: bool = False
     reads_slowly: bool = False
+    classes: tuple[RequestClass, ...] = _ROOT_CLASSES
 
 
+# Callers of a burst beside each node.
+BURST_CALLERS = 20
+BURST = Manner(clings=True, classes=(CLASS_BY_NAME['visit-confirm'],))
 # Manners by the caller's position beside its node.
 MANNERS = (
     Manner(clings=True),
@@ -62,46 +69,32 @@
 )
 
 
+@dataclass(slots=True)
 class Caller:
-    """Sends one request after the other to the node of its VM."""
-
-    def __init__(
-        self,
-        history: History,
-        node: NodeSupervisor,
-        gets_work: Callable[[SiteVm], bool],
-        manner: Manner,
-        source: random.Random,
-        name: str,
-    ) -> None:
-        """Create a caller without a connection.
-
-        :param history: the tables of the run.
-        :param node: the node of the caller's VM.
-        :param gets_work: tells whether the callers of a VM get new work.
-        :param manner: how it uses connections.
-        :param source: the source of chance.
-        :param name: prefix of its requests' ids.
-        """
-        self._history = history
-        self._node = node
-        self._gets_work = gets_work
-        self._manner = manner
-        self._source = source
-        self._name = name
-        self._numbers = itertools.count(1)
-        self._loop = asyncio.get_running_loop()
-        self._connection: ClientConnection | None = None
+    """Sends one request after the other to the node of its VM.
+
+    ``gets_work`` tells whether the callers of a VM get new work; ``name`` is
+    the prefix of the requests' ids.
+    """
+
+    history: History
+    node: NodeSupervisor
+    gets_work: Callable[[SiteVm], bool]
+    manner: Manner
+    source: random.Random
+    name: str
+    numbers: Iterator[int] = field(default_factory=partial(itertools.count, 1))
+    connection: ClientConnection | None = None
 
     async def run(self, ends_at: float, mean_pause: float) -> None:
         """Send requests until a time.
 
-        :param ends_at: when it stops, on the clock of the event loop.
+        :param ends_at: when it stops.
         :param mean_pause: mean time between an answer and the next request.
         """
-        while self._loop.time() < ends_at:
-            await self._pause(self._source.expovariate(1 / mean_pause))
-            while not self._may_send() and self._loop.time() < ends_at:
+        while monotonic() < ends_at:
+            await self._pause(self.source.expovariate(1 / mean_pause))
+            while not self._may_send() and monotonic() < ends_at:
                 await asyncio.sleep(_POLL_SECONDS)
             await self._request(self._draw_class())
         self._close()
@@ -111,28 +104,29 @@
         while left > 0:
             step = min(left, _POLL_SECONDS)
             await asyncio.sleep(step)
-            if self._manner.clings and self._node.state.is_stopping:
+            if self.manner.clings and self.node.state.is_stopping:
                 step *= _STOP_PAUSE_DIVISOR
             left -= step
 
     def _may_send(self) -> bool:
-        connection = self._connection
-        if self._manner.clings and connection and connection.is_open:
+        connection = self.connection
+        if self.manner.clings and connection and connection.is_open:
             return True
-        return self._gets_work(self._node.vm)
+        return self.gets_work(self.node.vm)
 
     def _draw_class(self) -> RequestClass:
-        weights = [entry.share for entry in _ROOT_CLASSES]
-        return self._source.choices(_ROOT_CLASSES, weights)[0]
+        classes = self.manner.classes
+        weights = [entry.share for entry in classes]
+        return self.source.choices(classes, weights)[0]
 
     async def _request(self, entry: RequestClass) -> None:
-        ends_at = self._loop.time() + entry.deadline
+        ends_at = monotonic() + entry.deadline
         for _ in range(_ATTEMPTS):
-            row = await self._attempt(entry, ends_at - self._loop.time())
+            row = await self._attempt(entry, ends_at - monotonic())
             if row is None or not _may_retry(row):
                 return
             self._close()
-            left = ends_at - self._loop.time()
+            left = ends_at - monotonic()
             pause = row.answer.retry_after if row.answer else 0
             if pause > left / _RETRY_AFTER_SHARE:
                 return
@@ -141,41 +135,41 @@
     async def _attempt(
         self, entry: RequestClass, deadline: float
     ) -> SentRequest | None:
-        if not self._manner.keeps_connections:
+        if not self.manner.keeps_connections:
             self._close()
-        connection = self._connection
+        connection = self.connection
         if connection is None or not connection.is_open:
-            address = self._node.vm.address('outbound')
-            connection = await connect(address, self._manner.reads_slowly)
-            self._connection = connection
-        process = self._node.state.row
+            address = self.node.vm.address('outbound')
+            connection = await connect(address, self.manner.reads_slowly)
+            self.connection = connection
+        process = self.node.state.row
         if connection is None or process is None:
             await asyncio.sleep(_RECONNECT_SECONDS)
             return None
         row = self._new_request(entry, deadline, process.id)
-        self._history.requests_by_id[row.id] = row
+        self.history.requests_by_id[row.id] = row
         await connection.request(row, deadline)
         return row
 
     def _new_request(
         self, entry: RequestClass, deadline: float, process_id: int
     ) -> SentRequest:
-        organisation = self._source.choice(list(KEY_BY_ORGANISATION))
-        request_id = f'{self._name}-{next(self._numbers)}'
+        organisation = self.source.choice(list(KEY_BY_ORGANISATION))
+        request_id = f'{self.name}-{next(self.numbers)}'
         content = Content(
             entry.method,
             f'/{entry.name}/{request_id}',
             request_id.encode().ljust(entry.request_bytes, b'x')
             if entry.request_bytes
             else b'',
-            self._node.vm.service,
+            self.node.vm.service,
             organisation,
         )
         return SentRequest(
             request_id,
             entry.name,
             entry.is_safe,
-            self._node.vm.name,
+            self.node.vm.name,
             process_id,
             content,
             shortest_limit(entry, deadline),
@@ -183,9 +177,9 @@
         )
 
     def _close(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-        self._connection = None
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
 
 
 def _may_retry(row: SentRequest) -> bool:
--- a/tools/soaking/disturbances.py
+++ b/tools/soaking/disturbances.py
@@ -24,16 +24,15 @@
 _FIRST_SECONDS = 3.0
 # Disturbances end early enough that the last grace period ends within the run.
 _LAST_SECONDS = 9.0
-_PAUSE_SECONDS = (0.5, 3.5)
 
 
 @dataclass(slots=True, frozen=True)
 class Step:
     """Something that is done at a time after the start of the load.
 
-    ``action`` is a key of the actions; ``target`` is a VM or a service,
-    ``number`` a signal or a count, ``factor`` one of the time of work, and
-    ``seconds`` a duration.
+    ``action`` is a key of the actions; ``target`` is a VM, a failure domain,
+    a service or a route, ``number`` a signal or a count, ``factor`` one of the
+    time of work, ``seconds`` a duration, ``service`` the new one of a route.
     """
 
     at: float
@@ -42,6 +41,7 @@
     number: int = 0
     seconds: float = 0
     factor: float = 1
+    service: str = ''
 
 
 @dataclass(slots=True)
@@ -55,6 +55,7 @@
     service_by_vm: dict[str, str]
     spare_vms: list[tuple[str, str]] = field(default_factory=list)
     now: float = 0
+    pause_seconds: tuple[float, float] = (0.5, 3.5)
 
     def vm(self) -> str:
         """Draw a VM.
@@ -72,46 +73,38 @@
         """
         return self.now + self.source.uniform(least, most)
 
-    def signal(self, at: float, vm: str, number: int) -> Step:
-        """Make the step that sends a signal.
-
-        :param at: when it is sent.
-        :param vm: the node's VM.
-        :param number: the signal's number.
-        :return: the step.
-        """
-        return Step(at, 'signal', vm, number)
-
 
 DrawSteps = Callable[[Draw], list[Step]]
 disturbances: Registry[DrawSteps] = Registry('disturbance')
 
 
-def draw_steps(draw: Draw, names: list[str], seconds: float) -> list[Step]:
+def draw_steps(
+    draw: Draw, chosen: list[DrawSteps], seconds: float
+) -> list[Step]:
     """Draw disturbances in series, which may overlap.
 
-    Each name is drawn once before any is drawn again.
+    Each disturbance is drawn once before any is drawn again.
 
     :param draw: the state, with a source that was seeded.
-    :param names: the disturbances to draw from.
+    :param chosen: the disturbances to draw from.
     :param seconds: length of the load.
     :return: the steps in the order of their times.
     """
     steps: list[Step] = []
-    left: list[str] = []
+    left: list[DrawSteps] = []
     draw.now = _FIRST_SECONDS
-    while draw.now < seconds - _LAST_SECONDS:
+    while chosen and draw.now < seconds - _LAST_SECONDS:
         if not left:
-            left = draw.source.sample(names, len(names))
-        steps += disturbances.find(left.pop())(draw)
-        draw.now += draw.source.uniform(*_PAUSE_SECONDS)
+            left = draw.source.sample(chosen, len(chosen))
+        steps += left.pop()(draw)
+        draw.now += draw.source.uniform(*draw.pause_seconds)
     return sorted(steps, key=attrgetter('at'))
 
 
 @disturbances.register('stop')
 def _draw_stop(draw: Draw) -> list[Step]:
     """Stop a node, which is started again."""
-    return [draw.signal(draw.now, draw.vm(), signal.SIGTERM)]
+    return [_signal(draw.now, draw.vm(), signal.SIGTERM)]
 
 
 @disturbances.register('repeated-stop')
@@ -120,7 +113,7 @@
     vm = draw.vm()
     count = draw.source.randint(1, 2)
     repeats = [draw.after(_SOON, 4) for _ in range(count)]
-    return [draw.signal(at, vm, signal.SIGTERM) for at in (draw.now, *repeats)]
+    return [_signal(at, vm, signal.SIGTERM) for at in (draw.now, *repeats)]
 
 
 @disturbances.register('overlapping-stops')
@@ -129,7 +122,7 @@
     names = sorted(draw.service_by_vm)
     count = draw.source.randint(2, max(2, len(names) // 3))
     return [
-        draw.signal(draw.after(0, 3), vm, signal.SIGTERM)
+        _signal(draw.after(0, 3), vm, signal.SIGTERM)
         for vm in draw.source.sample(names, count)
     ]
 
@@ -141,7 +134,7 @@
     seconds = draw.source.uniform(_SOON, 4)
     return [
         Step(draw.now, 'signal-next', vm, signal.SIGTERM, seconds),
-        draw.signal(draw.now, vm, signal.SIGTERM),
+        _signal(draw.now, vm, signal.SIGTERM),
     ]
 
 
@@ -151,9 +144,9 @@
     vm = draw.vm()
     stop_at = draw.after(_SOON, 2)
     return [
-        draw.signal(draw.now, vm, signal.SIGHUP),
-        draw.signal(stop_at, vm, signal.SIGTERM),
-        draw.signal(stop_at + draw.source.uniform(_SOON, 4), vm, signal.SIGHUP),
+        _signal(draw.now, vm, signal.SIGHUP),
+        _signal(stop_at, vm, signal.SIGTERM),
+        _signal(stop_at + draw.source.uniform(_SOON, 4), vm, signal.SIGHUP),
     ]
 
 
@@ -208,7 +201,7 @@
         seconds=draw.source.uniform(2, 6),
         factor=draw.source.uniform(2, 6),
     )
-    stops = [draw.signal(draw.after(0, 2), vm, signal.SIGTERM) for vm in vms]
+    stops = [_signal(draw.after(0, 2), vm, signal.SIGTERM) for vm in vms]
     return [slow, *stops]
 
 
@@ -217,8 +210,8 @@
     """Suspend a node for up to 2 s."""
     vm = draw.vm()
     return [
-        draw.signal(draw.now, vm, signal.SIGSTOP),
-        draw.signal(draw.after(0.5, 2), vm, signal.SIGCONT),
+        _signal(draw.now, vm, signal.SIGSTOP),
+        _signal(draw.after(0.5, 2), vm, signal.SIGCONT),
     ]
 
 
@@ -232,5 +225,9 @@
             number=draw.source.randint(2, 6),
             seconds=draw.source.uniform(2, 5),
         ),
-        draw.signal(draw.after(0, 2), draw.vm(), signal.SIGTERM),
+        _signal(draw.after(0, 2), draw.vm(), signal.SIGTERM),
     ]
+
+
+def _signal(at: float, vm: str, number: int) -> Step:
+    return Step(at, 'signal', vm, number)
--- a/tools/soaking/entities.py
+++ b/tools/soaking/entities.py
@@ -119,11 +119,16 @@
     ended_at: float = NEVER
     end: RunEnd = RunEnd.RUNNING
     status: int = 0
+    is_cold: bool = False
 
 
 @dataclass(slots=True)
 class NodeProcess:
-    """One life of a node's process; ``exit_code`` is None while it runs."""
+    """One life of a node's process; ``exit_code`` is None while it runs.
+
+    ``is_ready_at_stop`` and ``is_ready_after_stop`` tell whether the platform
+    counted it as ready at its first SIGTERM and, still running, 4 s later.
+    """
 
     id: int
     vm: str
@@ -132,6 +137,8 @@
     started_at: float
     ended_at: float = NEVER
     exit_code: int | None = None
+    is_ready_at_stop: bool = False
+    is_ready_after_stop: bool = False
 
 
 @dataclass(slots=True)
@@ -144,6 +151,24 @@
     sent_at: float
 
 
+@dataclass(slots=True)
+class Version:
+    """A version of the configuration; routes that it lacks have no service."""
+
+    number: int
+    acked_at: float
+    service_by_route: dict[str, str]
+
+
+@dataclass(slots=True)
+class DomainDrain:
+    """Time in which the operators have taken a failure domain out."""
+
+    domain: str
+    acked_at: float
+    ended_at: float = NEVER
+
+
 @dataclass(slots=True)
 class Event:
     """A disturbance other than a signal, for the record."""
@@ -157,12 +182,17 @@
     """Bounds of the rules in seconds.
 
     Long work is excused for requests that were sent no later than
-    ``excused_sending`` after the SIGTERM.
+    ``excused_sending`` after the SIGTERM. ``cold_requests`` is how many
+    requests a cold server bears in one second.
     """
 
     grace: float = 6.0
     loss_slack: float = 0.2
     config_apply: float = 2.0
+    rollback_slack: float = 0.25
+    drain: float = 2.0
+    domain_drain: float = 5.0
+    cold_requests: int = 35
     stable_window: float = 3.0
     excused_sending: float = 3.0
 
@@ -171,6 +201,8 @@
 class History:
     """The tables of one run, and the bounds of its rules.
 
+    ``left_at_by_instance`` holds when a node acknowledged that a backend server
+    leaves. ``versions`` are in the order in which they were written.
     ``max_lag`` is the largest delay of the event loop that runs the callers and
     the backend servers.
     """
@@ -181,6 +213,10 @@
     run_ids_by_request_id: dict[str, list[int]] = field(default_factory=dict)
     processes_by_id: dict[int, NodeProcess] = field(default_factory=dict)
     signals_by_id: dict[int, SentSignal] = field(default_factory=dict)
+    versions: list[Version] = field(default_factory=list)
+    domain_by_vm: dict[str, str] = field(default_factory=dict)
+    domain_drains: list[DomainDrain] = field(default_factory=list)
+    left_at_by_instance: dict[str, float] = field(default_factory=dict)
     events: list[Event] = field(default_factory=list)
     max_lag: float = 0
 
--- a/tools/soaking/excuses.py
+++ b/tools/soaking/excuses.py
@@ -97,6 +97,46 @@
     return False
 
 
+def is_in_touch(
+    history: History, process_id: int, since: float, until: float
+) -> bool:
+    """Tell whether a process was in touch at all times of a span.
+
+    :param history: the tables of the run.
+    :param process_id: id of the process row.
+    :param since: begin of the span.
+    :param until: end of the span.
+    :return: True if it has not been started, stopped or suspended from
+        ``stable_window`` before the span to its end.
+    """
+    stable_since = since - history.bounds.stable_window
+    ends = [
+        at
+        for number in (signal.SIGTERM, signal.SIGKILL)
+        for at in history.signal_times(process_id, number)
+    ]
+    return (
+        history.processes_by_id[process_id].started_at <= stable_since
+        and min(ends, default=NEVER) > until
+        and not is_frozen(history, process_id, stable_since, until)
+    )
+
+
+def processes_beside(history: History, run: Run) -> list[int]:
+    """List the processes of the node beside a run's server at its start.
+
+    :param history: the tables of the run.
+    :param run: the run.
+    :return: ids of the process rows, one at most.
+    """
+    return [
+        process.id
+        for process in history.processes_by_id.values()
+        if process.vm == run.vm
+        and process.started_at <= run.started_at < process.ended_at
+    ]
+
+
 def _is_long_work(
     bounds: Bounds, row: SentRequest, runs: list[Run], stopped_at: float
 ) -> bool:
--- a/tools/soaking/fleet.py
+++ b/tools/soaking/fleet.py
@@ -7,16 +7,22 @@
 import random
 import signal
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 from time import monotonic
 from typing import Any
 
 from figlane.registry import Registry
-from standins.platform_site import SiteVm
-from tools.soaking.callers import MANNERS, Caller
+from standins.platform_site import (
+    CLASS_BY_NAME,
+    TAKEN_OUT_KIND,
+    SiteVm,
+    configuration,
+)
+from standins.platform_store import ObjectTable
+from tools.soaking.callers import BURST, BURST_CALLERS, MANNERS, Caller, Manner
 from tools.soaking.disturbances import Step
-from tools.soaking.entities import Event, History
+from tools.soaking.entities import DomainDrain, Event, History, Version
 from tools.soaking.processes import NodeSupervisor, ProcessPlan
 from tools.soaking.servers import BackendServer, Slowdowns
 
@@ -30,6 +36,9 @@
 _LAG_SECONDS = 0.02
 # A new node takes no calls until it is ready.
 _LAST_READY_SECONDS = 30
+_BURST_PAUSE_SECONDS = 0.05
+# When the callers beside all nodes ask for a changed route.
+_ASK_AFTER_SECONDS = (0.5, 1.55)
 
 
 @dataclass(slots=True)
@@ -52,11 +61,14 @@
 class Fleet:
     """All VMs of a run."""
 
-    def __init__(self, history: History, plan: ProcessPlan, seed: int) -> None:
+    def __init__(
+        self, history: History, plan: ProcessPlan, table: ObjectTable, seed: int
+    ) -> None:
         """Create a fleet without VMs.
 
         :param history: the tables of the run.
         :param plan: how processes are started.
+        :param table: the objects of the store.
         :param seed: seed of the callers and the servers.
         """
         self.history = history
@@ -65,9 +77,11 @@
         self.slowdowns = Slowdowns()
         self.load: Load | None = None
         self.plan = plan
+        self.table = table
         self._seed = seed
         self._loop = asyncio.get_running_loop()
         self._run_ids = itertools.count(1)
+        self._caller_numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def add(self, vm: SiteVm, first_start: bool) -> None:
@@ -83,21 +97,38 @@
         )
         added = FleetVm(node, server)
         self.vms_by_name[vm.name] = added
-        await server.start()
+        self.history.domain_by_vm[vm.name] = vm.domain
+        await server.start(is_cold=not first_start)
         added.tasks.append(self._loop.create_task(node.run(first_start)))
         checks = self._loop.create_task(node.check_readiness())
         added.tasks.append(checks)
         if self.load is not None:
-            self.start_callers(added)
+            self.start_callers(added, MANNERS, self.load)
 
-    def start_callers(self, vm: FleetVm) -> None:
-        """Start the callers beside a node.
+    def configure(self, service_by_route: Mapping[str, str]) -> None:
+        """Write a new version of the configuration.
+
+        :param service_by_route: its routes.
+        """
+        versions = self.history.versions
+        number = sum(range(len(versions) + 1)) + 1
+        row = Version(number, monotonic(), dict(service_by_route))
+        versions.append(row)
+        written = configuration(number, service_by_route)
+        self.table.write('config', 'main', written)
+
+    def start_callers(
+        self, vm: FleetVm, manners: tuple[Manner, ...], load: Load
+    ) -> None:
+        """Start callers beside a node.
 
         :param vm: the node's VM.
+        :param manners: one for each caller.
+        :param load: their load.
         """
-        assert self.load is not None
         name = vm.node.vm.name
-        for number, manner in enumerate(MANNERS):
+        for manner in manners:
+            number = next(self._caller_numbers)
             caller = Caller(
                 self.history,
                 vm.node,
@@ -106,7 +137,7 @@
                 random.Random(f'{self._seed}-{name}-{number}'),
                 f'{name}-{number}',
             )
-            running = caller.run(self.load.ends_at, self.load.mean_pause)
+            running = caller.run(load.ends_at, load.mean_pause)
             vm.tasks.append(self._loop.create_task(running))
 
     def start_load(self, load: Load) -> None:
@@ -117,7 +148,7 @@
         self.load = load
         self.history.max_lag = 0
         for vm in self.vms_by_name.values():
-            self.start_callers(vm)
+            self.start_callers(vm, MANNERS, load)
 
     async def wait_until_ready(self) -> bool:
         """Wait until all nodes are ready.
@@ -231,6 +262,42 @@
     factors.pop(step.target, None)
 
 
+@actions.register('configure')
+async def _change_route(fleet: Fleet, step: Step) -> None:
+    """Add, move or remove a route, and ask all nodes for it."""
+    services = dict(fleet.history.versions[-1].service_by_route)
+    services.pop(step.target, None)
+    if step.service:
+        services[step.target] = step.service
+    fleet.configure(services)
+    manner = Manner(
+        keeps_connections=False, classes=(CLASS_BY_NAME[step.target],)
+    )
+    for seconds in _ASK_AFTER_SECONDS:
+        await asyncio.sleep(seconds)
+        _start_short_load(fleet, (manner,), seconds=_BURST_PAUSE_SECONDS)
+
+
+@actions.register('take-out')
+async def _take_out_domain(fleet: Fleet, step: Step) -> None:
+    """Take a failure domain out for some seconds, unless it is out."""
+    key = (TAKEN_OUT_KIND, step.target)
+    if key in fleet.table.by_key:
+        return
+    drain = DomainDrain(step.target, monotonic())
+    fleet.history.domain_drains.append(drain)
+    fleet.table.write(*key, {})
+    await asyncio.sleep(step.seconds)
+    drain.ended_at = monotonic()
+    fleet.table.delete(*key)
+
+
+@actions.register('burst')
+async def _send_burst(fleet: Fleet, step: Step) -> None:
+    """Start more callers for some seconds."""
+    _start_short_load(fleet, (BURST,) * BURST_CALLERS, step.seconds)
+
+
 @actions.register('busy')
 async def _keep_busy(fleet: Fleet, step: Step) -> None:
     """Run processes that compute; they end by themselves."""
@@ -254,8 +321,18 @@
     return vm.node.state.row is not None and not vm.node.state.misses
 
 
+def _start_short_load(
+    fleet: Fleet, manners: tuple[Manner, ...], seconds: float
+) -> None:
+    ends_at = monotonic() + seconds
+    for vm in fleet.vms_by_name.values():
+        if vm.node.state.is_wanted:
+            load = Load(ends_at, _BURST_PAUSE_SECONDS)
+            fleet.start_callers(vm, manners, load)
+
+
 def _describe(step: Step) -> str:
-    parts = [step.action, step.target]
+    parts = [step.action, step.target, step.service]
     if step.number:
         parts.append(str(step.number))
     if step.seconds:
--- a/tools/soaking/main.py
+++ b/tools/soaking/main.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import os
-import random
 import shutil
 import signal
 import socket
@@ -22,18 +21,27 @@
 import uvloop
 
 from figlane.settings import split_address
-from standins.platform_site import PORT_BY_USE, SiteVm, configuration, site_vm
+from standins.platform_site import (
+    PORT_BY_USE,
+    SERVICE_BY_ROUTE,
+    SiteVm,
+    site_vm,
+)
 from standins.platform_store import PlatformStore
-from tools.soaking import answer_rules, stop_rules  # registers them
+from tools.soaking import (  # registers them
+    answer_rules,
+    deployment_rules,
+    stop_rules,
+)
 from tools.soaking.callers import MANNERS
-from tools.soaking.disturbances import Draw, disturbances, draw_steps
+from tools.soaking.changes import FAULTS, draw_run
 from tools.soaking.entities import History
 from tools.soaking.fleet import Fleet, Load, perform_steps
 from tools.soaking.processes import ProcessPlan
 from tools.soaking.report import report
 from tools.soaking.rules import check_all
 
-REGISTERED_MODULES = (answer_rules, stop_rules)
+REGISTERED_MODULES = (answer_rules, deployment_rules, stop_rules)
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 _EXIT_OK = 0
@@ -82,7 +90,7 @@
     options = Options(
         arguments.seconds or seconds,
         arguments.vms or vms,
-        arguments.fault or sorted(disturbances.by_key),
+        arguments.fault or FAULTS,
         arguments.node_root.resolve(),
         arguments.keep,
     )
@@ -114,8 +122,8 @@
         '--fault',
         action='append',
         metavar='NAME',
-        choices=sorted(disturbances.by_key),
-        help=f'only these disturbances: {", ".join(disturbances.by_key)}',
+        choices=FAULTS,
+        help=f'only these disturbances: {", ".join(FAULTS)}',
     )
     parser.add_argument(
         '--node-root',
@@ -173,9 +181,9 @@
     store = PlatformStore(loop)
     address = f'{network}.2:{PORT_BY_USE["store"]}'
     await store.server.start(*split_address(address))
-    store.table.write('config', 'main', configuration())
     plan = ProcessPlan(options.node_root, folder, address)
-    fleet = Fleet(History(), plan, seed)
+    fleet = Fleet(History(), plan, store.table, seed)
+    fleet.configure(SERVICE_BY_ROUTE)
     fleet.spares_by_name = _site_vms(network, _DEFAULT_VMS, _SPARE_VMS)
     fleet.start_task(fleet.measure_lag())
     try:
@@ -201,18 +209,18 @@
 
 
 async def _disturb(seed: int, options: Options, fleet: Fleet) -> None:
-    loop = asyncio.get_running_loop()
-    draw = Draw(
-        random.Random(seed),
-        {name: vm.node.vm.service for name, vm in fleet.vms_by_name.items()},
-        [(name, vm.service) for name, vm in fleet.spares_by_name.items()],
+    steps = draw_run(
+        seed,
+        [vm.node.vm for vm in fleet.vms_by_name.values()],
+        list(fleet.spares_by_name.values()),
+        options.faults,
+        options.seconds,
     )
-    steps = draw_steps(draw, options.faults, options.seconds)
-    ends_at = loop.time() + options.seconds
+    ends_at = monotonic() + options.seconds
     callers = len(MANNERS) * len(fleet.vms_by_name)
     fleet.start_load(Load(ends_at, callers / _RATE))
     await perform_steps(fleet, steps)
-    await asyncio.sleep(ends_at + _LAST_REQUESTS_SECONDS - loop.time())
+    await asyncio.sleep(ends_at + _LAST_REQUESTS_SECONDS - monotonic())
 
 
 def _site_vms(network: str, first: int, count: int) -> dict[str, SiteVm]:
--- a/tools/soaking/processes.py
+++ b/tools/soaking/processes.py
@@ -20,6 +20,8 @@
 _START_POLL_SECONDS = 0.01
 _READINESS_SECONDS = 1.0
 _MISSES_UNTIL_OUT = 2
+# Nodes are out so long after SIGTERM.
+_UNREADY_SECONDS = 4
 _INHERITED = ('PATH', 'HOME', 'LANG')
 
 
@@ -122,6 +124,8 @@
         self._history.add_signal(row.id, number, monotonic())
         if number == signal.SIGTERM and is_first:
             self.state.is_stopping = True
+            row.is_ready_at_stop = self.state.is_in
+            self._call_later(_UNREADY_SECONDS, self._note_readiness, row.id)
             self._call_later(self._history.bounds.grace, self._kill, row.id)
 
     async def end(self) -> None:
@@ -192,6 +196,10 @@
         if not has_ended(row):
             self._signal_row(process_id, signal.SIGKILL)
 
+    def _note_readiness(self, process_id: int) -> None:
+        row = self._history.processes_by_id[process_id]
+        row.is_ready_after_stop = self.state.is_in and not has_ended(row)
+
     def _call_later(self, seconds: float, callback: object, *args: int) -> None:
         self._timers.add(self._loop.call_later(seconds, callback, *args))
 
--- a/tools/soaking/report.py
+++ b/tools/soaking/report.py
@@ -5,12 +5,15 @@
 import signal
 from collections import Counter
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from tools.soaking.entities import History, RequestEnd, SentRequest
 from tools.soaking.rules import Breach
 
 _REFUSALS = frozenset((408, 421, 429, 503))
-_OK = 200
+_OUTCOMES = MappingProxyType(
+    {200: 'served', 404: 'not found', **dict.fromkeys(_REFUSALS, 'refused')}
+)
 # Time and text.
 _Seen = tuple[float, str]
 
@@ -23,12 +26,8 @@
     otherwise: Counter[str] = field(default_factory=Counter)
 
 
-def count_requests(history: History) -> Counts:
-    """Count the requests by outcome.
-
-    :param history: the tables of the run.
-    :return: the counts of requests that callers sent, without nested calls.
-    """
+def _count_requests(history: History) -> Counts:
+    """Count the requests by outcome."""
     counts = Counts()
     for row in history.requests_by_id.values():
         if row.is_nested:
@@ -51,24 +50,18 @@
     :param started_at: the start of the load.
     :return: one line, and others before it if a rule is broken.
     """
-    lines = [describe(history, breach, started_at) for breach in breaches]
+    lines = [_describe(history, breach, started_at) for breach in breaches]
     if breaches:
         lines += [
             f'{event.at - started_at:10.3f} {event.text}'
             for event in history.events
         ]
-    return '\n'.join((*lines, summarize(seed, history, breaches)))
+    return '\n'.join((*lines, _summarize(seed, history, breaches)))
 
 
-def summarize(seed: int, history: History, breaches: list[Breach]) -> str:
-    """Describe a run in one line.
-
-    :param seed: the run's seed.
-    :param history: the tables of the run.
-    :param breaches: the broken rules.
-    :return: the line.
-    """
-    counts = count_requests(history)
+def _summarize(seed: int, history: History, breaches: list[Breach]) -> str:
+    """Describe a run in one line."""
+    counts = _count_requests(history)
     by_rule = Counter(breach.rule for breach in breaches)
     rules = ', '.join(f'{name} {count}' for name, count in by_rule.items())
     return (
@@ -80,14 +73,8 @@
     )
 
 
-def describe(history: History, breach: Breach, started_at: float) -> str:
-    """Describe what was seen of a broken rule, in the order of time.
-
-    :param history: the tables of the run.
-    :param breach: the broken rule.
-    :param started_at: the start of the load.
-    :return: several lines.
-    """
+def _describe(history: History, breach: Breach, started_at: float) -> str:
+    """Describe what was seen of a broken rule, in the order of time."""
     seen: list[_Seen] = []
     row = history.requests_by_id.get(breach.request_id)
     if row is not None:
@@ -148,12 +135,11 @@
     answer = row.answer
     if row.end is not RequestEnd.ANSWERED or answer is None:
         return 'not sent' if row.end is RequestEnd.NOT_SENT else 'failed'
-    if answer.status == _OK:
-        return 'served'
-    return 'refused' if answer.status in _REFUSALS else 'failed'
+    return _OUTCOMES.get(answer.status, 'failed')
 
 
 def _text(counts: Counter[str]) -> str:
     return ', '.join(
-        f'{counts[name]} {name}' for name in ('served', 'refused', 'failed')
+        f'{counts[name]} {name}'
+        for name in ('served', 'refused', 'failed', 'not found')
     )
--- a/tools/soaking/servers.py
+++ b/tools/soaking/servers.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from time import monotonic
 from typing import Any
 
@@ -15,11 +16,13 @@
     ServerConnection,
 )
 from figlane.adapters.request_reader import HttpRequest
+from figlane.entities.table import NEVER
 from figlane.platform import headers as names
 from figlane.settings import split_address
 from standins.platform_backend import PlatformBackend
 from standins.platform_site import (
     CLASS_BY_NAME,
+    COLD_SECONDS,
     HEALTH_PATH,
     SEAL,
     RequestClass,
@@ -50,6 +53,8 @@
 _ANNOUNCE_SECONDS = 1.5
 _BODY_SPREAD = 0.6
 _MAX_BODY_FACTOR = 6
+# Factor of the time of work while a server is cold.
+_COLD_FACTOR = 2
 # Seconds for which a leaving server waits for its runs.
 _LAST_RUNS_SECONDS = 6
 _POLL_SECONDS = 0.05
@@ -80,20 +85,14 @@
     task: asyncio.Task[None]
 
 
+@dataclass(slots=True)
 class NestedCaller:
     """Sends nested calls to the node of a VM, on connections that it keeps."""
 
-    def __init__(self, history: History, node: NodeSupervisor) -> None:
-        """Create a caller without connections.
-
-        :param history: the tables of the run.
-        :param node: the node of the VM.
-        """
-        self._history = history
-        self._node = node
-        self._vm = node.vm
-        self._idle: list[ClientConnection] = []
-        self._numbers = itertools.count(1)
+    history: History
+    node: NodeSupervisor
+    idle: list[ClientConnection] = field(default_factory=list)
+    numbers: Iterator[int] = field(default_factory=partial(itertools.count, 1))
 
     async def call(self, entry: RequestClass, seconds_left: float) -> bool:
         """Send one nested call.
@@ -103,32 +102,34 @@
         :return: whether it was answered with success.
         """
         deadline = min(entry.deadline, seconds_left)
-        request_id = f'n-{self._vm.name}-{next(self._numbers)}'
+        request_id = f'n-{self.node.vm.name}-{next(self.numbers)}'
         content = Content(
             entry.method,
             f'/{entry.name}/{request_id}',
             b'',
-            self._vm.service,
+            self.node.vm.service,
             '',
         )
-        connection = self._take() or await connect(self._vm.address('outbound'))
-        process = self._node.state.row
+        connection = self._take() or await connect(
+            self.node.vm.address('outbound')
+        )
+        process = self.node.state.row
         if connection is None or process is None:
             return False
         row = SentRequest(
             request_id,
             entry.name,
             entry.is_safe,
-            self._vm.name,
+            self.node.vm.name,
             process.id,
             content,
             shortest_limit(entry, deadline),
             is_nested=True,
         )
-        self._history.requests_by_id[row.id] = row
+        self.history.requests_by_id[row.id] = row
         await connection.request(row, deadline)
         if connection.is_open:
-            self._idle.append(connection)
+            self.idle.append(connection)
         return (
             row.end is RequestEnd.ANSWERED
             and row.answer is not None
@@ -136,8 +137,8 @@
         )
 
     def _take(self) -> ClientConnection | None:
-        while self._idle:
-            connection = self._idle.pop()
+        while self.idle:
+            connection = self.idle.pop()
             if connection.is_open:
                 return connection
         return None
@@ -171,6 +172,7 @@
         self._run_ids = run_ids
         self._open_by_connection: dict[ServerConnection, _OpenRun] = {}
         self._announcing: asyncio.Task[None] | None = None
+        self._cold_until: float = 0
         self._announcer = PlatformBackend(
             self._loop, f'i-{vm.name}', vm.service, vm.address('app')
         )
@@ -178,8 +180,13 @@
         self.nested = NestedCaller(history, node)
         self.server = CallbackHttpServer(self._loop, self)
 
-    async def start(self) -> None:
-        """Start to listen and to announce."""
+    async def start(self, *, is_cold: bool) -> None:
+        """Start to listen and to announce.
+
+        :param is_cold: it is cold until some seconds after the first
+            announcement that is acknowledged.
+        """
+        self._cold_until = NEVER if is_cold else 0
         await self.server.start(*split_address(self._vm.address('app')))
         self._announcing = self._loop.create_task(self._announce())
 
@@ -196,6 +203,8 @@
         control = self._vm.address('control')
         for _ in range(_LAST_RUNS_SECONDS):
             if await announce(control) == _OK:
+                instance = self._announcer.instance_id
+                self._history.left_at_by_instance[instance] = monotonic()
                 break
             await asyncio.sleep(1)
         await asyncio.sleep(drain_seconds)
@@ -226,8 +235,10 @@
         instance_header = (names.INSTANCE_ID, instance.encode())
         if request.target == HEALTH_PATH:
             is_ready = self._announcer.state == 'ready'
+            left = f'{self._cold_seconds() * _MS_PER_SECOND:.0f}'.encode()
             connection.respond(
-                _OK if is_ready else _UNAVAILABLE, (instance_header,)
+                _OK if is_ready else _UNAVAILABLE,
+                (instance_header, (names.COLD_MS, left)),
             )
             return
         target = names.find_value(request.headers, names.TARGET_ID).decode()
@@ -272,8 +283,17 @@
                 names.find_value(received, names.ORGANISATION).decode(),
             ),
             monotonic(),
+            is_cold=self._cold_seconds() > 0,
         )
 
+    def _slowdown(self) -> float:
+        factor = self._vm.speed * self._slowdowns.factor(self._vm.service)
+        return factor * _COLD_FACTOR if self._cold_seconds() else factor
+
+    def _cold_seconds(self) -> float:
+        left = max(0, self._cold_until - monotonic())
+        return min(left, COLD_SECONDS)
+
     async def _run(
         self, connection: ServerConnection, run: Run, seconds: float
     ) -> None:
@@ -297,9 +317,7 @@
         route = run.content.path.split('/')[1]
         entry = CLASS_BY_NAME[route]
         source = self._source
-        slowdown = self._slowdowns.factor(self._vm.service)
-        work = entry.work.draw(source) * self._vm.speed * slowdown
-        await asyncio.sleep(work)
+        await asyncio.sleep(entry.work.draw(source) * self._slowdown())
         if source.random() < entry.error_share:
             raise NestedCallFailed
         await self._call_nested(entry, ends_at)
@@ -323,7 +341,12 @@
 
     async def _announce(self) -> Any:
         control = self._vm.address('control')
+        announcer = self._announcer
         while True:
-            if self._announcer.state == 'ready':
-                await self._announcer.announce(control)
+            if announcer.state == 'ready':
+                announcer.set_cold(self._cold_seconds())
+                cold_until = monotonic() + COLD_SECONDS
+                status = await announcer.announce(control)
+                if status == _OK and self._cold_until == NEVER:
+                    self._cold_until = cold_until
             await asyncio.sleep(_ANNOUNCE_SECONDS)
--- a/tools/soaking/stop_rules.py
+++ b/tools/soaking/stop_rules.py
@@ -16,10 +16,14 @@
     is_excused,
     is_frozen,
     planned_work_at,
+    processes_beside,
     stop_at,
 )
 from tools.soaking.rules import Breach, rules
 
+# Nodes that may count as ready after their stop, as a part of all.
+_LATE_PART = 4
+
 
 @rules.register('LOST')
 def _find_lost(history: History) -> Iterator[Breach]:
@@ -83,6 +87,21 @@
             yield Breach('GRACE', text, process_ids=(process.id,))
 
 
+@rules.register('DRAIN by readiness')
+def _find_ready_after_stop(history: History) -> Iterator[Breach]:
+    """Find nodes that still count as ready after a stop, if they are many."""
+    stopped = [
+        process
+        for process in history.processes_by_id.values()
+        if process.is_ready_at_stop
+    ]
+    late = [process for process in stopped if process.is_ready_after_stop]
+    if len(late) > max(1, len(stopped) / _LATE_PART):
+        for process in late:
+            text = f'{process.vm} counts as ready after SIGTERM'
+            yield Breach('DRAIN', text, process_ids=(process.id,))
+
+
 def _is_cut_off(history: History, row: SentRequest) -> bool:
     if row.end not in {RequestEnd.CLOSED, RequestEnd.GARBLED}:
         return False
@@ -122,10 +141,4 @@
 def _processes_of(
     history: History, row: SentRequest, run: Run
 ) -> tuple[int, ...]:
-    beside = [
-        process.id
-        for process in history.processes_by_id.values()
-        if process.vm == run.vm
-        and process.started_at <= run.started_at < process.ended_at
-    ]
-    return (row.process_id, *beside)
+    return (row.process_id, *processes_beside(history, run))
