Count the age of a configuration from before a request is written

A request that was written less than 2 s after the ack could count as outdated. Its age counts from before the write, as time limits do.

Evidence: test_late_caller fails before with ['CONFIG'] != [].

--- a/tools/soaking/deployment_rules.py
+++ b/tools/soaking/deployment_rules.py
@@ -136,7 +136,7 @@
 def _first_version(history: History, row: SentRequest) -> int:
     if not is_in_touch(history, row.process_id, row.sent_at, row.ended_at):
         return 0
-    applied_at = row.sent_at - history.bounds.config_apply
+    applied_at = row.began_at - history.bounds.config_apply
     acked = [version.acked_at < applied_at for version in history.versions]
     return max(0, sum(acked) - 1)
 
@@ -155,6 +155,6 @@
 
 
 def _last_seen(history: History, seen: _Seen, row: SentRequest) -> int:
-    until = row.sent_at - history.bounds.rollback_slack
+    until = row.began_at - history.bounds.rollback_slack
     positions = [at for time, at in seen[row.process_id] if time < until]
     return max(positions, default=0)
