--- a/tools/soaking/processes.py
+++ b/tools/soaking/processes.py
@@ -14,12 +14,14 @@
 
 from figlane.settings import split_address
 from standins.platform_site import SiteVm, node_settings
-from tools.soaking.entities import Bounds, History, NodeProcess
+from tools.soaking.entities import History, NodeProcess
 
 _RESTART_SECONDS = 0.5
 _START_POLL_SECONDS = 0.01
 _READINESS_SECONDS = 1.0
 _MISSES_UNTIL_OUT = 2
+# Nodes are out so long after SIGTERM.
+_UNREADY_SECONDS = 4
 _INHERITED = ('PATH', 'HOME', 'LANG')
 
 
@@ -34,7 +36,6 @@
     node_root: Path
     folder: Path
     store: str
-    bounds: Bounds
 
 
 @dataclass(slots=True)
@@ -123,7 +124,9 @@
         self._history.add_signal(row.id, number, monotonic())
         if number == signal.SIGTERM and is_first:
             self.state.is_stopping = True
-            self._call_later(self._plan.bounds.grace, self._kill, row.id)
+            row.is_ready_at_stop = self.state.is_in
+            self._call_later(_UNREADY_SECONDS, self._note_readiness, row.id)
+            self._call_later(self._history.bounds.grace, self._kill, row.id)
 
     async def end(self) -> None:
         """End the process at once and start no other one."""
@@ -175,7 +178,7 @@
         plan = self._plan
         settings = plan.folder / f'{self.vm.name}.yaml'
         tables = node_settings(
-            self.vm, plan.store, first_start, plan.bounds.grace
+            self.vm, plan.store, first_start, self._history.bounds.grace
         )
         settings.write_text(json.dumps(tables), encoding='utf-8')
         environment = {
@@ -193,6 +196,10 @@
         if not has_ended(row):
             self._signal_row(process_id, signal.SIGKILL)
 
+    def _note_readiness(self, process_id: int) -> None:
+        row = self._history.processes_by_id[process_id]
+        row.is_ready_after_stop = self.state.is_in and not has_ended(row)
+
     def _call_later(self, seconds: float, callback: object, *args: int) -> None:
         self._timers.add(self._loop.call_later(seconds, callback, *args))
 
