Bound the time in which a stopping server accepts what waits

The end of the last reading was computed after all had been accepted and handled. A stop without a free file descriptor failed, since the listening socket could not be copied.

The time for the last answers begins before the listener closes, and what is not served by then is closed. Without a descriptor for the copy the server closes as before.

test_crowd_at_the_close_delays_no_end failed before: 1.125 not less than 0.45; test_close_without_free_descriptors: OSError: [Errno 24] Too many open files.

--- a/src/figlane/adapters/http_callback_server.py
+++ b/src/figlane/adapters/http_callback_server.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 server on httptools that uses callbacks instead of tasks.
 
 blacksheep and uvicorn allocate a task, an ASGI scope and two queues for each
-request; this server only parses the request and invokes a callback.
-docs/PLATFORM.md has the figures.
+request; a connection of this server only parses the request and invokes a
+callback. docs/PLATFORM.md has the figures.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from figlane.adapters.http_connection import (
     CutOffRequest,
@@ -40,6 +40,13 @@
     """Change nothing, for servers that answer until they are closed."""
 
 
+def _copies(listeners: Iterable[socket.socket]) -> list[socket.socket]:
+    # Without a free descriptor, the connections that wait are reset.
+    with contextlib.suppress(OSError):
+        return [listener.dup() for listener in listeners]
+    return []
+
+
 def _accept_all(listener: socket.socket) -> list[socket.socket]:
     accepted = []
     with listener, contextlib.suppress(OSError):
@@ -108,8 +115,9 @@
         self._stops_by = loop.time() + seconds
         await self._become_idle()
         start_refusing()
-        await self._stop_listening()
-        await self._answer_last(loop.time() + _LAST_READ_SECONDS)
+        ends_by = loop.time() + _LAST_READ_SECONDS
+        await self._stop_listening(ends_by)
+        await self._answer_last(ends_by)
         for connection in self.state.connections:
             connection.report_cut_off(CutOffReason.PROCESS_ENDS)
         self.close()
@@ -137,14 +145,17 @@
             if not (await self._reads_more() or self._is_busy()):
                 return
 
-    async def _stop_listening(self) -> None:
+    async def _stop_listening(self, ends_by: float) -> None:
         if self._server is None:
             return
         # The kernel resets what waits when the last copy of a socket closes.
-        listeners = [listener.dup() for listener in self._server.sockets]
+        listeners = _copies(self._server.sockets)
         self._server.close()
         accepted = [row for each in listeners for row in _accept_all(each)]
         for connection in accepted:
+            if self.state.loop.time() >= ends_by:
+                connection.close()
+                continue
             await self.state.loop.connect_accepted_socket(
                 self._new_connection, connection
             )
--- a/tests/adapters/test_http_server_stop.py
+++ b/tests/adapters/test_http_server_stop.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 import socket
 import time
 from unittest import TestCase
@@ -11,6 +13,8 @@
 import uvloop
 
 from figlane.adapters.http_callback_server import CallbackHttpServer
+from figlane.adapters.http_connection import ServerConnection
+from figlane.adapters.request_reader import HttpRequest
 from figlane.settings import split_address
 from standins.addresses import reserve_addresses
 from tests.adapters.empty_answers import EmptyAnswers
@@ -24,10 +28,30 @@
 _POLL_SECONDS = 0.005
 # Longest wait for an answer, in seconds.
 _WAIT_SECONDS = 1
+# Connections that wait at the end of a stop, the time that each one takes, and
+# the part of a grace period that is left for the end of a process, in seconds.
+_CROWD = 400
+_HANDLING_SECONDS = 0.002
+_END_SECONDS = 0.45
 _ANSWER_BYTES = 1000
 _REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 
 
+class SlowAnswers(EmptyAnswers):
+    """Handler that takes time for each request."""
+
+    def on_request(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        """Answer a request.
+
+        :param connection: the connection.
+        :param request: the request.
+        """
+        time.sleep(_HANDLING_SECONDS)
+        super().on_request(connection, request)
+
+
 async def wait_until_refused(address: tuple[str, int]) -> None:
     """Wait until nothing listens on an address.
 
@@ -65,6 +89,47 @@
         """Guards against a reset of requests on connections that are open."""
         uvloop.run(self._send_after_close())
 
+    def test_crowd_at_the_close_delays_no_end(self) -> None:
+        """Guards against a process that is killed after its grace period."""
+        uvloop.run(self._stop_in_a_crowd())
+
+    def test_close_without_free_descriptors(self) -> None:
+        """Guards against a stop that fails where no socket can be copied."""
+        uvloop.run(self._stop_without_descriptors())
+
+    async def _stop_in_a_crowd(self) -> None:
+        loop = asyncio.get_running_loop()
+        server = CallbackHttpServer(loop, SlowAnswers())
+        address = split_address(reserve_addresses(1)[0])
+        await server.start(*address)
+        for _ in range(_CROWD):
+            connection = socket.create_connection(address)
+            self.enterContext(connection).sendall(_REQUEST)
+        server.start_closing()
+        began_at = loop.time()
+        await server.stop(0)
+        self.assertLess(loop.time() - began_at, _END_SECONDS)
+
+    async def _stop_without_descriptors(self) -> None:
+        server = CallbackHttpServer(asyncio.get_running_loop(), EmptyAnswers())
+        address = split_address(reserve_addresses(1)[0])
+        await server.start(*address)
+        kept = self.enterContext(
+            socket.create_connection(address, _WAIT_SECONDS)
+        )
+        await asyncio.sleep(_READ_SECONDS)
+        kept.sendall(_REQUEST)
+        server.start_closing()
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        first_free = os.dup(kept.fileno())
+        os.close(first_free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (first_free, limits[1]))
+        try:
+            await server.stop(0)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        self.assertIn(b' 200 ', kept.recv(_ANSWER_BYTES))
+
     async def _connect_until_closed(self) -> None:
         loop = asyncio.get_running_loop()
         server = CallbackHttpServer(loop, EmptyAnswers())
