Shorten the state of the soak's supervisors, servers and report

Slowdowns are a table by service, the supervisor of a node is a data class, the statuses that promise that nothing has run stand in one place, and the ids of runs come from their table. No rule, bound or step changes.

--- a/tools/soaking/answer_rules.py
+++ b/tools/soaking/answer_rules.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from tools.soaking.entities import (
+    PROMISES,
     Answer,
     History,
     RequestEnd,
@@ -14,8 +15,6 @@
 )
 from tools.soaking.rules import Breach, rules
 
-_PROMISES = frozenset((408, 421, 429, 503))
-
 
 @rules.register('TWICE')
 def _find_double_runs(history: History) -> Iterator[Breach]:
@@ -33,7 +32,7 @@
     for row in history.requests_by_id.values():
         if row.is_safe or row.answer is None:
             continue
-        if row.answer.status in _PROMISES and history.runs_of(row.id):
+        if row.answer.status in PROMISES and history.runs_of(row.id):
             text = f'{row.answer.status} and has run'
             yield Breach('REFUSED', text, row.id, (row.process_id,))
 
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -23,6 +23,7 @@
     shortest_limit,
 )
 from tools.soaking.entities import (
+    PROMISES,
     Content,
     History,
     RequestEnd,
@@ -31,7 +32,6 @@
 from tools.soaking.processes import NodeSupervisor
 
 _ROOT_CLASSES = tuple(entry for entry in CLASSES if entry.share)
-_PROMISES = frozenset((408, 421, 429, 503))
 _FINAL_STATUSES = frozenset((200, 400, 401, 404, 413, 431))
 _ATTEMPTS = 2
 _RETRY_AFTER_SHARE = 3
@@ -187,5 +187,5 @@
     if row.end is RequestEnd.ANSWERED and answer is not None:
         if answer.status in _FINAL_STATUSES:
             return False
-        return row.is_safe or answer.status in _PROMISES
+        return row.is_safe or answer.status in PROMISES
     return row.is_safe or row.end is RequestEnd.NOT_SENT
--- a/tools/soaking/entities.py
+++ b/tools/soaking/entities.py
@@ -10,6 +10,8 @@
 
 from figlane.entities.table import NEVER
 
+# Statuses that promise that a request has not run and never will.
+PROMISES = frozenset((408, 421, 429, 503))
 _SUCCESS_CLASS = 2
 _STATUSES_OF_CLASS = 100
 
--- a/tools/soaking/fleet.py
+++ b/tools/soaking/fleet.py
@@ -24,7 +24,7 @@
 from tools.soaking.disturbances import Step
 from tools.soaking.entities import DomainDrain, Event, History, Version
 from tools.soaking.processes import NodeSupervisor, ProcessPlan
-from tools.soaking.servers import BackendServer, Slowdowns
+from tools.soaking.servers import BackendServer
 
 _BUSY_CODE = """
 import sys, time
@@ -74,13 +74,12 @@
         self.history = history
         self.vms_by_name: dict[str, FleetVm] = {}
         self.spares_by_name: dict[str, SiteVm] = {}
-        self.slowdowns = Slowdowns()
+        self.slowdowns: dict[str, float] = {}
         self.load: Load | None = None
         self.plan = plan
         self.table = table
         self._seed = seed
         self._loop = asyncio.get_running_loop()
-        self._run_ids = itertools.count(1)
         self._caller_numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -92,9 +91,7 @@
         """
         node = NodeSupervisor(self.history, self.plan, vm)
         source = random.Random(f'{self._seed}-{vm.name}')
-        server = BackendServer(
-            self.history, node, source, self.slowdowns, self._run_ids
-        )
+        server = BackendServer(self.history, node, source, self.slowdowns)
         added = FleetVm(node, server)
         self.vms_by_name[vm.name] = added
         self.history.domain_by_vm[vm.name] = vm.domain
@@ -256,10 +253,9 @@
 @actions.register('slow')
 async def _slow_servers(fleet: Fleet, step: Step) -> None:
     """Slow down the backend servers of a service for some seconds."""
-    factors = fleet.slowdowns.factor_by_service
-    factors[step.target] = step.factor
+    fleet.slowdowns[step.target] = step.factor
     await asyncio.sleep(step.seconds)
-    factors.pop(step.target, None)
+    fleet.slowdowns.pop(step.target, None)
 
 
 @actions.register('configure')
--- a/tools/soaking/processes.py
+++ b/tools/soaking/processes.py
@@ -65,22 +65,15 @@
         return self.misses < _MISSES_UNTIL_OUT
 
 
+@dataclass(slots=True)
 class NodeSupervisor:
     """Keeps the node process of one VM running, as the platform does."""
 
-    def __init__(self, history: History, plan: ProcessPlan, vm: SiteVm) -> None:
-        """Create a supervisor without a process.
-
-        :param history: the tables of the run.
-        :param plan: how processes are started.
-        :param vm: the VM.
-        """
-        self.state = NodeState()
-        self.vm = vm
-        self._history = history
-        self._plan = plan
-        self._loop = asyncio.get_running_loop()
-        self._timers: set[asyncio.Handle] = set()
+    history: History
+    plan: ProcessPlan
+    vm: SiteVm
+    state: NodeState = field(default_factory=NodeState)
+    timers: set[asyncio.Handle] = field(default_factory=set)
 
     async def run(self, first_start: bool) -> None:
         """Start the process, and again after each end while it is wanted.
@@ -118,21 +111,21 @@
         process = self.state.process
         if row is None or process is None or has_ended(row):
             return
-        is_first = not self._history.signal_times(row.id, signal.SIGTERM)
+        is_first = not self.history.signal_times(row.id, signal.SIGTERM)
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(number)
-        self._history.add_signal(row.id, number, monotonic())
+        self.history.add_signal(row.id, number, monotonic())
         if number == signal.SIGTERM and is_first:
             self.state.is_stopping = True
             row.is_ready_at_stop = self.state.is_in
             self._call_later(_UNREADY_SECONDS, self._note_readiness, row.id)
-            self._call_later(self._history.bounds.grace, self._kill, row.id)
+            self._call_later(self.history.bounds.grace, self._kill, row.id)
 
     async def end(self) -> None:
         """End the process at once and start no other one."""
         state = self.state
         state.is_wanted = False
-        for timer in self._timers:
+        for timer in self.timers:
             timer.cancel()
         while state.is_starting:
             await asyncio.sleep(_START_POLL_SECONDS)
@@ -147,13 +140,13 @@
         state = self.state
         state.start_count += 1
         name = self.vm.name
-        log_path = self._plan.folder / f'{name}.{state.start_count}.log'
+        log_path = self.plan.folder / f'{name}.{state.start_count}.log'
         environment = self._environment(first_start)
         with log_path.open('wb') as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(self._plan.node_root / 'deploy' / 'node.py'),
-                cwd=self._plan.node_root,
+                str(self.plan.node_root / 'deploy' / 'node.py'),
+                cwd=self.plan.node_root,
                 env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
@@ -162,23 +155,23 @@
         state.process = process
         state.is_stopping = False
         state.row = NodeProcess(
-            len(self._history.processes_by_id) + 1,
+            len(self.history.processes_by_id) + 1,
             name,
             process.pid,
             str(log_path),
             monotonic(),
         )
-        self._history.processes_by_id[state.row.id] = state.row
+        self.history.processes_by_id[state.row.id] = state.row
         for seconds, number in state.signals_after_start:
             self._call_later(seconds, self._signal_row, state.row.id, number)
         state.signals_after_start.clear()
         return process
 
     def _environment(self, first_start: bool) -> dict[str, str]:
-        plan = self._plan
+        plan = self.plan
         settings = plan.folder / f'{self.vm.name}.yaml'
         tables = node_settings(
-            self.vm, plan.store, first_start, self._history.bounds.grace
+            self.vm, plan.store, first_start, self.history.bounds.grace
         )
         settings.write_text(json.dumps(tables), encoding='utf-8')
         environment = {
@@ -192,16 +185,18 @@
             self.send_signal(number)
 
     def _kill(self, process_id: int) -> None:
-        row = self._history.processes_by_id[process_id]
+        row = self.history.processes_by_id[process_id]
         if not has_ended(row):
             self._signal_row(process_id, signal.SIGKILL)
 
     def _note_readiness(self, process_id: int) -> None:
-        row = self._history.processes_by_id[process_id]
+        row = self.history.processes_by_id[process_id]
         row.is_ready_after_stop = self.state.is_in and not has_ended(row)
 
     def _call_later(self, seconds: float, callback: object, *args: int) -> None:
-        self._timers.add(self._loop.call_later(seconds, callback, *args))
+        self.timers.add(
+            asyncio.get_running_loop().call_later(seconds, callback, *args)
+        )
 
 
 def has_ended(row: NodeProcess) -> bool:
--- a/tools/soaking/report.py
+++ b/tools/soaking/report.py
@@ -3,42 +3,24 @@
 from __future__ import annotations
 
 import signal
-from collections import Counter
-from dataclasses import dataclass, field
+from collections import Counter, defaultdict
 from types import MappingProxyType
 
-from tools.soaking.entities import History, RequestEnd, SentRequest
+from tools.soaking.entities import (
+    PROMISES,
+    History,
+    RequestEnd,
+    SentRequest,
+)
 from tools.soaking.rules import Breach
 
-_REFUSALS = frozenset((408, 421, 429, 503))
 _OUTCOMES = MappingProxyType(
-    {200: 'served', 404: 'not found', **dict.fromkeys(_REFUSALS, 'refused')}
+    {200: 'served', 404: 'not found', **dict.fromkeys(PROMISES, 'refused')}
 )
 # Time and text.
 _Seen = tuple[float, str]
 
 
-@dataclass(slots=True)
-class Counts:
-    """Counts of requests by outcome, during stops of their node and not."""
-
-    in_stops: Counter[str] = field(default_factory=Counter)
-    otherwise: Counter[str] = field(default_factory=Counter)
-
-
-def _count_requests(history: History) -> Counts:
-    """Count the requests by outcome."""
-    counts = Counts()
-    for row in history.requests_by_id.values():
-        if row.is_nested:
-            continue
-        stops = history.signal_times(row.process_id, signal.SIGTERM)
-        in_stop = bool(stops) and row.ended_at >= stops[0]
-        chosen = counts.in_stops if in_stop else counts.otherwise
-        chosen[_outcome(row)] += 1
-    return counts
-
-
 def report(
     seed: int, history: History, breaches: list[Breach], started_at: float
 ) -> str:
@@ -61,12 +43,16 @@
 
 def _summarize(seed: int, history: History, breaches: list[Breach]) -> str:
     """Describe a run in one line."""
-    counts = _count_requests(history)
+    counts: defaultdict[bool, Counter[str]] = defaultdict(Counter)
+    for row in history.requests_by_id.values():
+        stops = history.signal_times(row.process_id, signal.SIGTERM)
+        in_stop = bool(stops) and row.ended_at >= stops[0]
+        counts[in_stop][_outcome(row)] += not row.is_nested
     by_rule = Counter(breach.rule for breach in breaches)
     rules = ', '.join(f'{name} {count}' for name, count in by_rule.items())
     return (
-        f'seed {seed}: {_text(counts.otherwise)}; '
-        f'during stops {_text(counts.in_stops)}; '
+        f'seed {seed}: {_text(counts[False])}; '
+        f'during stops {_text(counts[True])}; '
         f'{len(history.runs_by_id)} runs, '
         f'{len(history.processes_by_id)} processes, '
         f'lag {history.max_lag:.2f} s; {rules or "no rule broken"}'
--- a/tools/soaking/servers.py
+++ b/tools/soaking/servers.py
@@ -64,21 +64,6 @@
     """A nested call has no successful answer."""
 
 
-@dataclass(slots=True)
-class Slowdowns:
-    """Factors of the time of work, by service."""
-
-    factor_by_service: dict[str, float] = field(default_factory=dict)
-
-    def factor(self, service: str) -> float:
-        """Return the present factor of a service.
-
-        :param service: the service's name.
-        :return: 1 unless the service is slowed down.
-        """
-        return self.factor_by_service.get(service, 1)
-
-
 @dataclass(slots=True)
 class _OpenRun:
     run: Run
@@ -152,16 +137,14 @@
         history: History,
         node: NodeSupervisor,
         source: random.Random,
-        slowdowns: Slowdowns,
-        run_ids: Iterator[int],
+        slowdowns: dict[str, float],
     ) -> None:
         """Create a server that does not listen yet.
 
         :param history: the tables of the run.
         :param node: the node of the server's VM.
         :param source: the source of chance.
-        :param slowdowns: the present slowdowns.
-        :param run_ids: ids for new runs.
+        :param slowdowns: present factors of the time of work, by service.
         """
         self._loop = asyncio.get_running_loop()
         self._history = history
@@ -169,7 +152,6 @@
         self._vm = vm
         self._source = source
         self._slowdowns = slowdowns
-        self._run_ids = run_ids
         self._open_by_connection: dict[ServerConnection, _OpenRun] = {}
         self._announcing: asyncio.Task[None] | None = None
         self._cold_until: float = 0
@@ -270,7 +252,7 @@
     def _new_run(self, request: HttpRequest) -> Run:
         received = request.headers
         return Run(
-            next(self._run_ids),
+            len(self._history.runs_by_id) + 1,
             names.find_value(received, names.REQUEST_ID).decode(),
             self._announcer.instance_id,
             self._vm.name,
@@ -287,7 +269,7 @@
         )
 
     def _slowdown(self) -> float:
-        factor = self._vm.speed * self._slowdowns.factor(self._vm.service)
+        factor = self._vm.speed * self._slowdowns.get(self._vm.service, 1)
         return factor * _COLD_FACTOR if self._cold_seconds() else factor
 
     def _cold_seconds(self) -> float:
