Name the refusal of late runs after their limit

stop_refusal stood in calls/stopping.py and in admission/run_limits.py with other arguments and another meaning; the second one is run_limit_refusal now. No change of behaviour.

--- a/src/figlane/systems/admission/control.py
+++ b/src/figlane/systems/admission/control.py
@@ -38,7 +38,7 @@
 from figlane.systems.admission.run_limits import (
     run_limit,
     schedule_end,
-    stop_refusal,
+    run_limit_refusal,
 )
 from figlane.systems.registry import Stage, deadline_policies, system
 
@@ -220,9 +220,9 @@
     now: float,
 ) -> bool:
     check = deadline_policies.find(world.policies.deadline)
-    refusal: Refusal | None = stop_refusal(world, execution, 0, now) or check(
-        world, execution, backend, now
-    )
+    refusal: Refusal | None = run_limit_refusal(
+        world, execution, 0, now
+    ) or check(world, execution, backend, now)
     if refusal is None:
         return True
     end_execution(world, execution, refusal, now)
--- a/src/figlane/systems/admission/deadline_check.py
+++ b/src/figlane/systems/admission/deadline_check.py
@@ -14,7 +14,7 @@
     calls_within_limit,
     has_limit_token,
 )
-from figlane.systems.admission.run_limits import stop_refusal
+from figlane.systems.admission.run_limits import run_limit_refusal
 from figlane.systems.registry import deadline_policies
 
 # Upper bound on queued executions per slot of the concurrency limit.
@@ -76,7 +76,7 @@
             ErrorKind.OVERLOADED,
             'the expected queue delay exceeds the time left',
         )
-    return stop_refusal(world, execution, seconds, now)
+    return run_limit_refusal(world, execution, seconds, now)
 
 
 def queue_bound(backend: BackendServer, now: float) -> float:
--- a/src/figlane/systems/admission/run_limits.py
+++ b/src/figlane/systems/admission/run_limits.py
@@ -30,7 +30,7 @@
     return min(execution.deadline, drain_end(world) - ANSWER_SECONDS)
 
 
-def stop_refusal(
+def run_limit_refusal(
     world: World, execution: Execution, seconds: float, now: float
 ) -> Refusal | None:
     """Decide whether an execution must not start since its node stops.
