Name a claimant as the owner only if it has been started anew

Since, a claimant that does not count as alive is taken to have been started anew. That was inferred from its phase when the bucket is released, up to 0.1 s after the claim; the claimant may have begun to leave since, or have claimed just before it stopped. A claim now carries the incarnation of its sender, and what the owner knows of the claimant is outdated only if that incarnation is later than the one in its member table. Claims of older nodes have none: their sender does not count as started anew.

A node that had begun to leave during its claim also claimed the bucket from the member that the answer named. It now claims nothing more; its claim ends as an unanswered one, with an empty bucket, since another member holds the level.

The nodes of the simulated fleet have a later incarnation after each start now, and the model of random stops spreads it.

--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -84,10 +84,12 @@
     this node charged calls to it; the node may no longer be the owner.
     ``claimed_from`` holds the members that were asked to release it, and
     ``awaited`` those of them that have not answered. ``claimant`` is the member
-    that claimed it during this node's claim.
+    that claimed it during this node's claim, ``claimant_incarnation`` its
+    incarnation by that claim.
     ``released_to`` is the member that claimed it from this one last, at
-    ``released_at``; ``outdated_incarnation`` is its incarnation if it did not
-    count as alive then, and else 0.
+    ``released_at``; ``outdated_incarnation`` is its incarnation in the member
+    table if it did not count as alive then and claimed with a later one, and
+    else 0.
 
     While the owner is silent, its successor charges calls to a second, smaller
     bucket with ``fallback_level``. ``fallback_charged`` counts the calls that
@@ -108,6 +110,7 @@
     claimed_from: list[str] = field(default_factory=list)
     awaited: set[str] = field(default_factory=set)
     claimant: str = ''
+    claimant_incarnation: int = 0
     released_to: str = ''
     released_at: float = -NEVER
     outdated_incarnation: int = 0
--- a/src/figlane/entities/quota_messages.py
+++ b/src/figlane/entities/quota_messages.py
@@ -74,9 +74,13 @@
 
 @dataclass(slots=True)
 class BucketClaim:
-    """Asks a member that may hold an organisation's bucket to release it."""
+    """Asks a member that may hold an organisation's bucket to release it.
+
+    ``incarnation`` is the sender's; older nodes do not send it.
+    """
 
     organisation_id: str
+    incarnation: int = 0
 
 
 @dataclass(slots=True)
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -24,6 +24,7 @@
 from figlane.entities.world import World
 from figlane.registry import RunCondition
 from figlane.systems.links.messages import send_message
+from figlane.systems.membership.states import own_member
 from figlane.systems.quotas.buckets import (
     allowance_of,
     find_bucket,
@@ -88,10 +89,10 @@
     """
     claim: BucketClaim = row.message
     bucket = find_bucket(world, claim.organisation_id, now)
-    if bucket.phase is OwnedBucketPhase.CLAIMING:
-        bucket.claimant = row.sender
-        return
-    _release(world, bucket, row.sender, now)
+    bucket.claimant = row.sender
+    bucket.claimant_incarnation = claim.incarnation
+    if bucket.phase is not OwnedBucketPhase.CLAIMING:
+        _release(world, bucket, now)
 
 
 @peer_handlers.register(BucketRelease)
@@ -109,6 +110,9 @@
     bucket.fallback_charged += release.charged
     if bucket.phase is not OwnedBucketPhase.CLAIMING:
         return
+    if release.released_to and own_member(world).phase is MemberPhase.LEAVING:
+        # A leaving member claims nothing: this claim ends unanswered.
+        return
     bucket.awaited.discard(row.sender)
     if release.was_owner:
         bucket.level = release.level
@@ -144,7 +148,7 @@
     if now >= bucket.released_at + _RELEASED_SECONDS:
         return owner_id
     # A member that this node has not heard of yet has just joined, and one that
-    # did not count as alive when it claimed the bucket has been started anew.
+    # claimed the bucket with a later incarnation has been started anew.
     # Any other one has not heard of this node yet.
     is_outdated = released is None or (
         released.incarnation == bucket.outdated_incarnation
@@ -182,7 +186,8 @@
         return
     bucket.claimed_from.append(member_id)
     bucket.awaited.add(member_id)
-    send_message(world, member_id, BucketClaim(bucket.id))
+    claim = BucketClaim(bucket.id, own_member(world).incarnation)
+    send_message(world, member_id, claim)
 
 
 def _start_unheld(
@@ -199,9 +204,8 @@
     _start_serving(world, bucket, now)
 
 
-def _release(
-    world: World, bucket: OwnedBucket, claimant: str, now: float
-) -> None:
+def _release(world: World, bucket: OwnedBucket, now: float) -> None:
+    claimant = bucket.claimant
     _log_release(world, bucket, claimant, now)
     _drop_old_fallback(world, bucket, now)
     refill(world, bucket, now)
@@ -221,7 +225,8 @@
     bucket.outdated_incarnation = 0
     member = world.members.get(claimant)
     if member is not None and member.phase is not MemberPhase.ALIVE:
-        bucket.outdated_incarnation = member.incarnation
+        if member.incarnation < bucket.claimant_incarnation:
+            bucket.outdated_incarnation = member.incarnation
     send_message(world, claimant, release)
 
 
@@ -280,7 +285,7 @@
     bucket.is_held = True
     _answer_waiting(world, bucket, now)
     if bucket.claimant:
-        _release(world, bucket, bucket.claimant, now)
+        _release(world, bucket, now)
 
 
 def _answer_waiting(world: World, bucket: OwnedBucket, now: float) -> None:
--- a/tests/systems/quotas/owner_fleet.py
+++ b/tests/systems/quotas/owner_fleet.py
@@ -43,7 +43,7 @@
     ``paused`` those of the nodes that do not run, and ``active`` those of the
     nodes that are simulated, by default all. ``numbers`` are those of
     ``worlds``. ``logged`` holds the decisions about buckets with the numbers of
-    their nodes.
+    their nodes, and ``starts`` the number of starts of each node.
     """
 
     count: int
@@ -63,6 +63,7 @@
     paused: frozenset[int] = frozenset()
     sent: int = 0
     logged: list[tuple[int, LogDecision]] = field(default_factory=list)
+    starts: Counter[int] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         """Start the nodes."""
@@ -77,8 +78,12 @@
         :param knows_others: False if it has not joined the fleet yet.
         :return: the node's world.
         """
+        # Nodes add one to it as they publish their own row at their start.
+        incarnation = self.starts[number]
+        self.starts[number] += 1
+        address = f'127.0.0.1:{number}'
         world = World(
-            Identity(f'n{number}', 'a', 1, peer_address=f'127.0.0.1:{number}'),
+            Identity(f'n{number}', 'a', incarnation, peer_address=address),
             Random(number),
             Policies(rate='owner'),
             quota_bounds=_BOUNDS,
--- a/tests/systems/quotas/test_handover.py
+++ b/tests/systems/quotas/test_handover.py
@@ -4,10 +4,14 @@
 
 import unittest
 
+from figlane.entities.charge import OwnedBucketPhase
+from figlane.entities.inbox import PeerMessage
 from figlane.entities.member import MemberPhase
 from figlane.entities.outbox import LogDecision
+from figlane.entities.quota_messages import BucketRelease
 from figlane.entities.world import World
 from figlane.systems.membership.states import own_member
+from figlane.systems.quotas.buckets import find_bucket
 from figlane.systems.quotas.ring import owner_of, ring_members
 from tests.systems.quotas.owner_fleet import (
     ALLOWANCE,
@@ -167,6 +171,55 @@
                 served = len(fleet.admitted_at)
                 self.assertGreater(served, 2.9 * ALLOWANCE.rate)
 
+    def test_claimant_that_leaves_for_good(self) -> None:
+        """A claimant that is known to be gone is not named as the owner."""
+        for phase in (
+            MemberPhase.SUSPECT,
+            MemberPhase.LEAVING,
+            MemberPhase.DEAD,
+        ):
+            with self.subTest(phase=phase):
+                fleet = rested_fleet()
+                owner_id, claimant_id, *_ = _ring(fleet)
+                fleet.run(1, SURGE_RATE)
+                _move_to_end(fleet, claimant_id)
+                _move_to_end(fleet, owner_id)
+                claimant, owner = fleet.worlds[-2:]
+                _set_phase(claimant, owner_id, MemberPhase.LEAVING)
+                fleet.call(claimant)
+                fleet.run(5 * DELAY_SECONDS, 0)
+                _set_phase(owner, claimant_id, phase)
+                fleet.run(0.1, 0)
+                _set_phase(claimant, owner_id, MemberPhase.ALIVE)
+                for world in fleet.worlds:
+                    _set_phase(world, claimant_id, MemberPhase.LEAVING)
+                fleet.admitted_at.clear()
+                fleet.run(3, 0.9 * ALLOWANCE.rate)
+                served = len(fleet.admitted_at)
+                self.assertGreater(served, 0.8 * 3 * ALLOWANCE.rate)
+
+    def test_leaving_claimant_claims_no_more(self) -> None:
+        """A node that has begun to leave follows no bucket that moved on."""
+        fleet = rested_fleet()
+        owner_id = _owner(fleet)
+        owner = fleet.worlds[int(owner_id[1:])]
+        second, third, *_ = [
+            member.id for member in owner.members if member.id != owner_id
+        ]
+        bucket = find_bucket(owner, 'acme', fleet.now)
+        owner.quota.owned_buckets.move(bucket, OwnedBucketPhase.CLAIMING)
+        owner.quota.owned_buckets.schedule(bucket, fleet.now + 0.1)
+        bucket.awaited.add(second)
+        _set_phase(owner, owner_id, MemberPhase.LEAVING)
+        release = BucketRelease('acme', released_to=third)
+        owner.inbox.append(PeerMessage(second, release))
+        fleet.logged.clear()
+        fleet.run(0.2, 0)
+        self.assertEqual(len(fleet.logged), 1)
+        claimed = _logged(fleet, owner_id, 'bucket_claimed')
+        self.assertEqual(claimed.inputs['asked'], [])
+        self.assertEqual(claimed.inputs['tokens'], 0)
+
     def test_fallback_of_members_that_disagree(self) -> None:
         """What members let through while none takes the bucket is charged."""
         fleet = rested_fleet()
--- a/tests/systems/quotas/test_random_stops.py
+++ b/tests/systems/quotas/test_random_stops.py
@@ -114,7 +114,8 @@
             if is_away is (phase is MemberPhase.LEAVING):
                 world = self._world(hearer)
                 member = world.members.by_id[node_id]
-                member.incarnation += phase is MemberPhase.ALIVE
+                if phase is MemberPhase.ALIVE:
+                    member.incarnation = self.fleet.starts[int(node_id[1:])]
                 world.members.move(member, phase)
 
     def _world(self, node_id: str) -> World:
--- a/tests/wire/test_fuzz.py
+++ b/tests/wire/test_fuzz.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from figlane.entities.quota_messages import BucketRelease
+from figlane.entities.quota_messages import BucketClaim, BucketRelease
 from figlane.errors import RESPONSE_BY_KIND, ExecutionStatus, parse_error_kind
 from figlane.wire.checking import CheckError, check, parse_text
 from figlane.wire.documents import CODEC_BY_KIND, ServiceDocument, decode_entity
@@ -69,6 +69,14 @@
         message = decode(frame[:start] + payload).message
         self.assertEqual(message, BucketRelease('acme', 2.5, was_owner=True))
 
+    def test_claim_of_an_older_node(self) -> None:
+        """A claim without an incarnation has none."""
+        frame = encode('n1', BucketClaim('acme'))
+        payload = msgspec.msgpack.encode({'organisation_id': 'acme'})
+        start = len(frame) - len(msgspec.msgpack.encode(BucketClaim('acme')))
+        message = decode(frame[:start] + payload).message
+        self.assertEqual(message, BucketClaim('acme'))
+
     @given(st.binary(max_size=300))
     def test_arbitrary_bytes(self, frame: bytes) -> None:
         """Arbitrary bytes are rejected or decoded.
