Charge no fallback to a bucket that no member has held

Calls within the quota were refused after the owner of a bucket had been killed or paused.

A bucket that no member releases starts anew, and the calls of the time before are no debt of it. It drops them now. A bucket that starts after an unanswered claim is empty and owes nothing already.

test_successor_of_a_killed_owner failed before: AssertionError: 117 not greater than or equal to 120. It counts 134 now.

--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -200,6 +200,8 @@
         # latest start.
         bucket.refilled_at = min(now, world.started_at)
         bucket.created_at = bucket.refilled_at
+        # Its level was not kept on filling while successors let calls through.
+        bucket.fallback_charged = 0
     _log_claim(world, bucket, outcome, '', now)
     _start_serving(world, bucket, now)
 
--- a/tests/systems/quotas/test_handover.py
+++ b/tests/systems/quotas/test_handover.py
@@ -236,6 +236,19 @@
         fleet.run(0.3, SURGE_RATE)
         self.assertLessEqual(len(fleet.admitted_at), 0.6 * 1.2 * ALLOWANCE.rate)
 
+    def test_successor_of_a_killed_owner(self) -> None:
+        """What successors let through is no debt of a bucket without level."""
+        fleet = rested_fleet()
+        owner_id = _owner(fleet)
+        fleet.run(3, SURGE_RATE)
+        fleet.paused = frozenset((int(owner_id[1:]),))
+        fleet.run(1.5, SURGE_RATE)
+        for world in fleet.worlds:
+            _set_phase(world, owner_id, MemberPhase.DEAD)
+        fleet.admitted_at.clear()
+        fleet.run(2, SURGE_RATE)
+        self.assertGreaterEqual(len(fleet.admitted_at), 2 * ALLOWANCE.rate)
+
     def test_claim_during_a_claim(self) -> None:
         """A member that is asked while it claims hands over what it gets."""
         fleet = rested_fleet()
