Move the log lines of claims and releases to a module of their own

owner.py decides who charges a bucket; how a claim and a release are logged and counted is now in claim_log.py. _start_unheld no longer assigns its argument, and the texts that named the previous owner name the members that may hold the bucket, as a claim asks several since. No change of behaviour: test_owner, test_random_stops and test_handover pass.

--- a/src/figlane/entities/charge.py
+++ b/src/figlane/entities/charge.py
@@ -52,8 +52,8 @@
 class OwnedBucketPhase(IdentityHashMixin, enum.Enum):
     """How far a node is in charge of an organisation's bucket.
 
-    ``UNCLAIMED``: it is not. ``CLAIMING``: it has asked the previous owner to
-    release the bucket. ``OWNED``: it charges calls.
+    ``UNCLAIMED``: it is not. ``CLAIMING``: it has asked the members that may
+    hold the bucket to release it. ``OWNED``: it charges calls.
     """
 
     UNCLAIMED = 'unclaimed'
@@ -77,8 +77,8 @@
 class OwnedBucket:
     """The token bucket of one organisation; ``id`` is the organisation's id.
 
-    ``created_at`` is when this node began to fill it without knowing the
-    previous owner's level, ``-NEVER`` if that level was received.
+    ``created_at`` is when this node began to fill it without knowing its level,
+    ``-NEVER`` if that was received from the member that held it.
     ``waiting_requests`` holds the requests, by requester, that arrived during a
     claim. ``is_held`` means that no other member has claimed the bucket since
     this node charged calls to it; the node may no longer be the owner.
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -13,7 +13,6 @@
 from figlane.entities.charge import OwnedBucket, OwnedBucketPhase
 from figlane.entities.inbox import PeerMessage
 from figlane.entities.member import MemberPhase
-from figlane.entities.outbox import LogDecision
 from figlane.entities.quota_messages import (
     BucketClaim,
     BucketRelease,
@@ -33,19 +32,18 @@
     seconds_to_next_token,
     whole_tokens,
 )
+from figlane.systems.quotas.claim_log import log_claim, log_release
 from figlane.systems.quotas.requesters import record_requester
 from figlane.systems.quotas.ring import owner_of, previous_owners_of
 from figlane.systems.registry import Stage, peer_handlers, system
 
-# Time without an answer after which the previous owner counts as gone.
+# Time after which a claim ends without the members that have not answered.
 _CLAIM_TIMEOUT_SECONDS = 0.1
 # Largest number of members that are asked to release one bucket.
 _MAX_CLAIMS = 16
 # Time after a release for which requests are sent on to the new owner, of which
 # this node may not have heard yet.
 _RELEASED_SECONDS = 5.0
-# Tokens and seconds in log events are rounded to three decimals.
-_DECIMALS = 3
 
 
 @peer_handlers.register(ChargeRequest)
@@ -97,7 +95,7 @@
 
 @peer_handlers.register(BucketRelease)
 def handle_bucket_release(world: World, row: PeerMessage, now: float) -> None:
-    """Take over a bucket with the level that it had at its previous owner.
+    """Take over a bucket with the level that it had at its holder.
 
     :param world: the tables.
     :param row: an answer to this node's claim.
@@ -118,7 +116,7 @@
         bucket.level = release.level
         bucket.refilled_at = now
         bucket.created_at = -NEVER
-        _log_claim(world, bucket, 'released', row.sender, now)
+        log_claim(world, bucket, 'released', row.sender, now)
         _start_serving(world, bucket, now)
         return
     _send_claim(world, bucket, release.released_to)
@@ -136,7 +134,7 @@
     for bucket in world.quota.owned_buckets.pop_due(now):
         if bucket.phase is OwnedBucketPhase.CLAIMING:
             _empty(bucket, now)
-            _log_claim(world, bucket, 'unanswered', '', now)
+            log_claim(world, bucket, 'unanswered', '', now)
             _start_serving(world, bucket, now)
 
 
@@ -194,7 +192,7 @@
     world: World, bucket: OwnedBucket, outcome: str, now: float
 ) -> None:
     if bucket.is_held:
-        outcome = 'kept'
+        log_claim(world, bucket, 'kept', '', now)
     else:
         # No member has charged calls lately, unless it was this node before its
         # latest start.
@@ -202,13 +200,13 @@
         bucket.created_at = bucket.refilled_at
         # Its level was not kept on filling while successors let calls through.
         bucket.fallback_charged = 0
-    _log_claim(world, bucket, outcome, '', now)
+        log_claim(world, bucket, outcome, '', now)
     _start_serving(world, bucket, now)
 
 
 def _release(world: World, bucket: OwnedBucket, now: float) -> None:
     claimant = bucket.claimant
-    _log_release(world, bucket, claimant, now)
+    log_release(world, bucket, claimant, now)
     _drop_old_fallback(world, bucket, now)
     refill(world, bucket, now)
     release = BucketRelease(
@@ -244,44 +242,6 @@
     bucket.created_at = now
 
 
-def _log_claim(
-    world: World, bucket: OwnedBucket, outcome: str, previous: str, now: float
-) -> None:
-    world.counters[f'quota.claim.{outcome}'] += 1
-    world.outbox.append(
-        LogDecision(
-            'bucket_claimed',
-            {
-                'organisation': bucket.id,
-                'previous': previous,
-                'asked': list(bucket.claimed_from),
-                'outcome': outcome,
-                'tokens': round(bucket.level, _DECIMALS),
-                'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
-            },
-        ),
-    )
-
-
-def _log_release(
-    world: World, bucket: OwnedBucket, claimant: str, now: float
-) -> None:
-    kind = 'owner' if bucket.is_held else 'other'
-    world.counters[f'quota.release.{kind}'] += 1
-    world.outbox.append(
-        LogDecision(
-            'bucket_released',
-            {
-                'organisation': bucket.id,
-                'claimant': claimant,
-                'was_owner': bucket.is_held,
-                'tokens': round(bucket.level, _DECIMALS),
-                'refill_seconds': round(now - bucket.refilled_at, _DECIMALS),
-            },
-        ),
-    )
-
-
 def _start_serving(world: World, bucket: OwnedBucket, now: float) -> None:
     world.quota.owned_buckets.move(bucket, OwnedBucketPhase.OWNED)
     bucket.is_held = True
