--- a/src/figlane/systems/admission/control.py
+++ b/src/figlane/systems/admission/control.py
@@ -37,8 +37,8 @@
 )
 from figlane.systems.admission.run_limits import (
     run_limit,
-    schedule_end,
     run_limit_refusal,
+    schedule_end,
 )
 from figlane.systems.registry import Stage, deadline_policies, system
 
--- a/src/figlane/systems/quotas/owner.py
+++ b/src/figlane/systems/quotas/owner.py
@@ -3,9 +3,9 @@
 A bucket exists once in the fleet. A node that becomes its owner, because it
 joined or because the owner leaves, first claims it from the members that may
 hold it. They charge no more calls, and one that held it before names the member
-that claimed it since. Nothing is kept in the platform's object
-store, so that the limit holds at a restart of the whole fleet and while the
-store is unavailable: a new bucket starts empty.
+that claimed it since. Nothing is kept in the platform's object store, so that
+the limit holds at a restart of the whole fleet and while the store is
+unavailable: a new bucket starts empty.
 """
 
 from __future__ import annotations
