--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -31,6 +32,8 @@
 _HEARTBEAT_SECONDS = 1.5
 _START_SECONDS = 20
 _MS = 1000
+_PORT_RANGE = (12_000, 32_000)
+_used_ports: set[int] = set()
 
 Headers = dict[str, str]
 
@@ -60,18 +63,30 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Find ports that are free on the loopback address."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind((_LOOPBACK, 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
+    """Find ports that are free for TCP and UDP on the loopback address.
+
+    They are below the range from which connections take theirs, so that no
+    connection takes one before its node listens.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*_PORT_RANGE)
+        if port not in _used_ports and _is_free(port):
+            _used_ports.add(port)
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((_LOOPBACK, port))
+            except OSError:
+                return False
+    return True
+
+
 async def read_message(reader: asyncio.StreamReader) -> Message | None:
     """Read one message; None if the connection ends before its first byte."""
     try:
