--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -32,6 +32,9 @@
 _HEARTBEAT_SECONDS = 1.5
 _START_SECONDS = 20
 _MS = 1000
+_PEAK_STEP_MB = 10
+_RESTART_SECONDS = 0.5
+_MEMORY_CHECK_SECONDS = 0.02
 _PORT_RANGE = (12_000, 32_000)
 _used_ports: set[int] = set()
 
@@ -104,7 +107,8 @@
     body = b''
     if headers.get('transfer-encoding', '').lower() == 'chunked':
         while True:
-            size = int((await reader.readline()).split(b';')[0], 16)
+            line = await reader.readuntil(b'\r\n')
+            size = int(line.split(b';')[0], 16)
             body += await reader.readexactly(size)
             await reader.readexactly(2)
             if not size:
@@ -649,6 +653,41 @@
         }
 
 
+async def limit_memory(site: Site, record: Record, limit_mb: int) -> None:
+    """End nodes that use too much memory and start them again, as DEPLOY says.
+
+    "A process that exceeds `memory_mb` is killed", and "is restarted after a
+    short delay". The peak of all nodes is recorded in steps of 10 MB.
+    """
+    peak_mb = 0
+    while True:
+        for machine in site.machines:
+            used_mb = _resident_mb(machine)
+            if used_mb >= peak_mb + _PEAK_STEP_MB:
+                peak_mb = used_mb
+                record.write('peak', node=machine.name, mb=peak_mb)
+            if used_mb > limit_mb:
+                record.write('over_memory', node=machine.name, mb=used_mb)
+                await site.kill_node(machine)
+                await asyncio.sleep(_RESTART_SECONDS)
+                await site.start_node(machine)
+        await asyncio.sleep(_MEMORY_CHECK_SECONDS)
+
+
+def _resident_mb(machine: Machine) -> int:
+    process = machine.process
+    if process is None or process.returncode is not None:
+        return 0
+    try:
+        status = Path(f'/proc/{process.pid}/status').read_text('utf-8')
+    except OSError:
+        return 0
+    for line in status.splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) // 1024
+    return 0
+
+
 def configuration(
     routes: list[list[Any]], tenants: list[list[Any]], version: int = 1
 ) -> dict[str, Any]:
@@ -755,6 +794,75 @@
         )
 
 
+def request_head(
+    method: str, path: str, request_id: str, key: str, length: int
+) -> bytes:
+    """Encode the head of a client's request with a time limit of 5 s."""
+    lines = (
+        f'{method} {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Figlane-Request-Id: {request_id}',
+        'Figlane-Deadline-Ms: 5000',
+        f'Api-Key: {key}',
+        f'Content-Length: {length}',
+        '',
+        '',
+    )
+    return '\r\n'.join(lines).encode()
+
+
+class KeptClient:
+    """Sends unsafe requests one after the other on a kept connection."""
+
+    def __init__(self, record: Record, number: int, key: str) -> None:
+        self._record = record
+        self._number = number
+        self._key = key
+        self._count = 0
+        self.cut_ids: set[str] = set()
+        self.answered = 0
+
+    async def run(self, machine: Machine) -> None:
+        """Send requests until cancelled; open new connections as needed."""
+        host, _, port = machine.address('outbound').rpartition(':')
+        while True:
+            writer = None
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+                await self._use(reader, writer)
+            except (OSError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.2)
+            finally:
+                if writer is not None:
+                    writer.close()
+
+    async def _use(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        is_kept = False
+        while True:
+            self._count += 1
+            request_id = f'k{self._number:02}-{self._count:04}'
+            self._record.write('sent', request=request_id, kept=is_kept)
+            writer.write(
+                request_head('POST', '/book/slot', request_id, self._key, 0)
+            )
+            answer: Message | None = None
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                answer = await read_message(reader)
+            status = int(answer.first[1]) if answer else 0
+            self._record.write('answered', request=request_id, status=status)
+            if answer is None:
+                if is_kept:
+                    self.cut_ids.add(request_id)
+                return
+            self.answered += status == 200
+            if answer.headers.get('connection') == 'close':
+                return
+            is_kept = True
+            await asyncio.sleep(0.05)
+
+
 Play = Callable[[Site, Record, bool], Awaitable[bool]]
 
 
