--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -1,4 +1,4 @@
-"""Small deployment of real nodes on loopback addresses, for the cases 6 to 10.
+"""Small deployment of real nodes on loopback addresses, for the cases 6 to 9.
 
 The nodes are started with the command of the deploy file. The platform's
 store, the backend servers and the clients are small stand-ins in the process
