--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -479,6 +479,31 @@
     store: Store
     zones: list[str]
     machines: list[Machine] = field(default_factory=list)
+    _spawning: set[asyncio.Task[asyncio.subprocess.Process]] = field(
+        default_factory=set
+    )
+    _processes: list[asyncio.subprocess.Process] = field(default_factory=list)
+
+    async def spawn(
+        self, *words: str, **options: Any
+    ) -> asyncio.subprocess.Process:
+        """Start a process, which ``close`` ends if it still runs.
+
+        It is known to ``close`` also if the caller is cancelled meanwhile.
+        """
+        task = asyncio.ensure_future(
+            asyncio.create_subprocess_exec(*words, **options)
+        )
+        self._spawning.add(task)
+        task.add_done_callback(self._keep_process)
+        return await asyncio.shield(task)
+
+    def _keep_process(
+        self, task: asyncio.Task[asyncio.subprocess.Process]
+    ) -> None:
+        self._spawning.discard(task)
+        if not task.cancelled() and task.exception() is None:
+            self._processes.append(task.result())
 
     def add(self, service: str, zone: str) -> Machine:
         """Add a machine; its node isn't started yet."""
@@ -506,7 +531,7 @@
         words = shlex.split(deploy['roles']['node']['run'])
         words[words.index('--metrics-port') + 1] = str(free_ports(1)[0])
         with machine.log.open('ab') as log:
-            machine.process = await asyncio.create_subprocess_exec(
+            machine.process = await self.spawn(
                 *words,
                 cwd=ROOT,
                 stdin=asyncio.subprocess.DEVNULL,
@@ -552,9 +577,10 @@
 
     async def close(self) -> None:
         """End all processes that were started, and the store."""
-        for machine in self.machines:
-            process = machine.process
-            if process is not None and process.returncode is None:
+        await asyncio.gather(*self._spawning, return_exceptions=True)
+        await asyncio.sleep(0)
+        for process in self._processes:
+            if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
                     process.send_signal(signal.SIGCONT)
                     process.kill()
